--- a/src/adapter/host.cpp
+++ b/src/adapter/host.cpp
@@ -117,7 +117,7 @@
     serve(in, out);
     return 0;
   } catch (const std::exception& problem) {
-    err << "lynxstand_adapter: " << problem.what() << std::endl;
+    err << "yokestream_adapter: " << problem.what() << std::endl;
     return 1;
   }
 }
