--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,36 @@
+// The one place where the configuration is read, checked and given defaults.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config/members.h"
+#include "config/settings.h"
+
+namespace yokestream::config {
+
+struct Limits {
+  std::size_t memory_mb = 192;
+  std::size_t sockets = 1024;
+};
+
+struct Config {
+  std::string name;
+  Endpoint listen;
+  std::uint64_t seed = 0;
+  Limits limits;
+  std::optional<Endpoint> feed;  // none: the list of engines never changes
+  std::uint64_t known_number = 0;
+  std::vector<MembersEvent> known;
+  lynxstand::Settings settings;
+  RealSettings real;
+};
+
+// Nested JSON as pairs of path and text: objects and lists of objects by path, lists of scalars with commas.
+Options lay_out(const Json::Value& settings);
+
+Config decode_config(const std::string& text);  // throws ConfigError
+Config read_config(const std::string& path);    // throws ConfigError
+
+}  // namespace yokestream::config
--- /dev/null
+++ b/src/config/settings.h
@@ -0,0 +1,40 @@
+// The one decoder of the settings: from pairs of a path and a text, as the simulator's wire holds them.
+// Nested JSON is laid out as such pairs first (config.h).
+#pragma once
+
+#include <functional>
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "lynxstand/admission.h"
+
+namespace yokestream::config {
+
+// A setting that makes no sense. what() names its key.
+class ConfigError : public std::runtime_error {
+ public:
+  ConfigError(std::string_view key, std::string_view problem);
+  const std::string& key() const { return key_; }
+  const std::string& problem() const { return problem_; }
+
+ private:
+  std::string key_, problem_;
+};
+
+using Options = std::map<std::string, std::string, std::less<>>;
+
+lynxstand::Settings decode_settings(const Options& options);  // throws ConfigError
+
+// What only a real workload manager needs of the same settings.
+struct RealSettings {
+  std::vector<std::string> classes, tenants, kinds, zones, report_fields;  // names by position
+  lynxstand::Duration dial_time{};   // a connection not up by then counts as unreachable
+  lynxstand::Duration idle_close{};  // engines close what has been idle for this long; 0: never
+  std::size_t streams_per_connection = 1;
+  std::size_t open_cap = 0;  // requests that may be open at once; 0: no cap
+};
+RealSettings decode_real_settings(const Options& options);  // throws ConfigError
+
+}  // namespace yokestream::config
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,86 @@
+// The command line: serve, check-config, version.
+#include <malloc.h>
+#include <pthread.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <iostream>
+#include <mutex>
+
+#include "config/config.h"
+#include "net/server.h"
+
+#ifndef YOKESTREAM_VERSION
+#error "the build names the version"
+#endif
+
+namespace {
+
+class StandardError : public yokestream::manager::Log {
+ public:
+  void note(std::string_view line) override {
+    const std::lock_guard lock(mutex_);
+    std::cerr << "yokestream: " << line << std::endl;
+  }
+
+ private:
+  std::mutex mutex_;
+};
+
+// Hundreds of threads would each get an arena of their own, which count to the memory limit.
+void bound_memory() {
+  mallopt(M_ARENA_MAX, 1);
+  mallopt(M_TRIM_THRESHOLD, 1024 * 1024);
+}
+
+int serve(const std::string& path) {
+  const auto config = yokestream::config::read_config(path);
+  bound_memory();
+  std::signal(SIGPIPE, SIG_IGN);
+  sigset_t ends;
+  sigemptyset(&ends);
+  sigaddset(&ends, SIGTERM);
+  sigaddset(&ends, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &ends, nullptr);  // before any thread: all inherit it
+  StandardError log;
+  yokestream::net::Server server(config, log);
+  log.note(config.name + " serves on " + to_string(server.endpoint()));
+  int signal = 0;
+  sigwait(&ends, &signal);
+  log.note("told to end");
+  server.leave();
+  server.wait();
+  log.note("ended");
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("yokestream, a workload manager for pools of query engines");
+  app.require_subcommand(1);
+  std::string path;
+  const auto with_config = [&](const char* name, const char* what) {
+    auto* command = app.add_subcommand(name, what);
+    command->add_option("-c,--config", path, "the configuration, a JSON file")
+        ->envname("RELAY_CONFIG")
+        ->required();
+    return command;
+  };
+  const auto* serve_command = with_config("serve", "Serve clients until SIGTERM or SIGINT");
+  const auto* check_command = with_config("check-config", "Read and check the configuration, then exit");
+  const auto* version_command = app.add_subcommand("version", "Print the version");
+  CLI11_PARSE(app, argc, argv);
+  try {
+    if (*version_command) std::cout << "yokestream " << YOKESTREAM_VERSION << std::endl;
+    if (*check_command) {
+      const auto config = yokestream::config::read_config(path);
+      std::cout << config.name << ": good; listens on " << to_string(config.listen) << std::endl;
+    }
+    if (*serve_command) return serve(path);
+  } catch (const std::exception& problem) {
+    std::cerr << "yokestream: " << problem.what() << std::endl;
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/manager/budget.h
@@ -0,0 +1,56 @@
+// A bound on the memory that statements and results take together.
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <utility>
+
+namespace yokestream::manager {
+
+class Budget;
+
+// Part of a budget; gives it back when it goes. Must not outlive the budget.
+class Reservation {
+ public:
+  Reservation() = default;
+  Reservation(Reservation&& other) noexcept
+      : budget_(std::exchange(other.budget_, nullptr)), bytes_(std::exchange(other.bytes_, 0)) {}
+  Reservation& operator=(Reservation&& other) noexcept {
+    std::swap(budget_, other.budget_);
+    std::swap(bytes_, other.bytes_);
+    return *this;
+  }
+  ~Reservation();
+
+ private:
+  friend class Budget;
+  Budget* budget_ = nullptr;
+  std::size_t bytes_ = 0;
+};
+
+class Budget {  // may be used from several threads
+ public:
+  explicit Budget(std::size_t bytes) : limit_(bytes) {}
+  // Adds to what `held` holds already. False: there is not so much left, and nothing was taken.
+  bool take(Reservation& held, std::size_t bytes) {
+    if (used_.fetch_add(bytes) + bytes > limit_) {
+      used_ -= bytes;
+      return false;
+    }
+    held.budget_ = this;
+    held.bytes_ += bytes;
+    return true;
+  }
+  std::size_t used() const { return used_; }
+
+ private:
+  friend class Reservation;
+  const std::size_t limit_;
+  std::atomic<std::size_t> used_{0};
+};
+
+inline Reservation::~Reservation() {
+  if (budget_) budget_->used_ -= bytes_;
+}
+
+}  // namespace yokestream::manager
--- /dev/null
+++ b/src/manager/directory.cpp
@@ -0,0 +1,73 @@
+#include "manager/directory.h"
+
+#include <algorithm>
+#include <set>
+
+namespace yokestream::manager {
+namespace {
+
+// An unknown name gets a position past the end: the module then knows nothing of it.
+template <class Id>
+Id position(const std::vector<std::string>& names, const std::string& name) {
+  return Id{static_cast<std::uint32_t>(std::find(names.begin(), names.end(), name) - names.begin())};
+}
+
+}  // namespace
+
+// Guards against a restart that never was: the module takes a changed start for one, and a wall clock that is
+// slewed maps the same millisecond to another time. So each start is mapped once.
+Time Directory::started(const std::string& uid, std::int64_t boot_ms) {
+  auto& [known, time] = starts_[uid];
+  if (known != boot_ms) known = boot_ms, time = from_unix_(boot_ms);
+  return time;
+}
+
+lynxstand::EngineList Directory::apply(const config::MembersEvent& event, bool remembered) {
+  lynxstand::EngineList list;
+  list.kind = remembered    ? lynxstand::ListKind::remembered
+              : event.whole ? lynxstand::ListKind::full
+                            : lynxstand::ListKind::changes;
+  if (event.whole) {
+    std::set<std::string> named;
+    for (const auto& member : event.members) named.insert(member.uid);
+    for (auto& [uid, record] : engines_) {
+      if (!named.count(uid)) record.state = lynxstand::EngineState::gone;
+    }
+  }
+  for (const auto& member : event.members) {
+    EngineRecord& record = engines_[member.uid];
+    record.state = member.state;
+    record.boot_ms = member.boot_ms;
+    if (member.endpoint) record.endpoint = *member.endpoint;
+    if (member.endpoint && member.state == lynxstand::EngineState::up) claim(*member.endpoint, member);
+    lynxstand::EngineEntry entry;
+    entry.engine.name = member.uid;
+    entry.zone = position<lynxstand::ZoneId>(names_.zones, member.zone);
+    entry.kind = position<lynxstand::KindId>(names_.kinds, member.kind);
+    entry.cell = lynxstand::CellId{member.cell};
+    entry.state = member.state;
+    entry.weight = member.weight;
+    if (member.boot_ms > 0) entry.started = started(member.uid, member.boot_ms);
+    list.entries.push_back(std::move(entry));
+  }
+  return list;
+}
+
+// A new engine may have the address of one that has gone, told before or after the end of the old one. What
+// is meant for the old one must not reach the new one, so an address belongs to the one that started last.
+void Directory::claim(const config::Endpoint& endpoint, const config::Member& member) {
+  auto& owner = owners_[endpoint];
+  const auto holder = engines_.find(owner);
+  const bool held = holder != engines_.end() && holder->second.state == lynxstand::EngineState::up &&
+                    holder->second.endpoint == endpoint;
+  if (!held || holder->second.boot_ms <= member.boot_ms) owner = member.uid;
+}
+
+const EngineRecord* Directory::usable(const std::string& uid) const {
+  const auto it = engines_.find(uid);
+  if (it == engines_.end() || it->second.state != lynxstand::EngineState::up) return nullptr;
+  const auto owner = owners_.find(it->second.endpoint);
+  return owner != owners_.end() && owner->second == uid ? &it->second : nullptr;
+}
+
+}  // namespace yokestream::manager
--- /dev/null
+++ b/src/manager/directory.h
@@ -0,0 +1,43 @@
+// The engines that the feed has named, and where each of them is.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "config/config.h"
+#include "manager/ports.h"
+
+namespace yokestream::manager {
+
+struct EngineRecord {
+  config::Endpoint endpoint;
+  std::int64_t boot_ms = 0;
+  lynxstand::EngineState state = lynxstand::EngineState::gone;
+};
+
+class Directory {
+ public:
+  using FromUnix = std::function<Time(std::int64_t unix_ms)>;
+  Directory(const config::RealSettings& names, FromUnix from_unix)
+      : names_(names), from_unix_(std::move(from_unix)) {}
+
+  // Takes in an event and returns it as the module is to hear it.
+  lynxstand::EngineList apply(const config::MembersEvent& event, bool remembered);
+
+  // nullptr: nothing may be sent there, as it is not up or its address has gone to another.
+  const EngineRecord* usable(const std::string& uid) const;
+
+ private:
+  void claim(const config::Endpoint& endpoint, const config::Member& member);
+  Time started(const std::string& uid, std::int64_t boot_ms);
+
+  const config::RealSettings& names_;
+  FromUnix from_unix_;
+  std::map<std::string, EngineRecord> engines_;
+  std::map<config::Endpoint, std::string> owners_;  // who was last named at an address
+  std::map<std::string, std::pair<std::int64_t, Time>> starts_;
+};
+
+}  // namespace yokestream::manager
--- /dev/null
+++ b/src/manager/manager.h
@@ -0,0 +1,141 @@
+// The core: every request taken, every attempt out, and the controller that decides on them. Events in,
+// actions out through the ports. One thread owns it; it knows no protocol, no socket and no clock of its own.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config/config.h"
+#include "lynxstand/admission.h"
+#include "manager/directory.h"
+#include "manager/links.h"
+#include "manager/ports.h"
+
+namespace yokestream::manager {
+
+class Manager {
+ public:
+  Manager(const config::Config& config, Time now, Directory::FromUnix from_unix, Budget& budget,
+          ClientPort& clients, EnginePort& engines, Log& log);
+
+  void handle(Time now, Event event);
+  void tick(Time now);    // does what has fallen due
+  Time next_due() const;  // when tick() has something to do
+
+  std::size_t open_requests() const { return calls_.size(); }
+  // Told to leave, and nothing is owed or to be expected any more.
+  bool left(Time now) const { return now >= accept_until_ && calls_.empty(); }
+
+ private:
+  enum class Phase { out, stopping, fetching };
+  struct Attempt {
+    lynxstand::AttemptNo number{};
+    std::string uid;
+    LinkId link{};
+    SendTag tag = 0;
+    Time sent{};
+    Phase phase = Phase::out;
+    EngineAnswer end;  // fetching: the answer `served`, its body grown by the pages that have come
+    std::map<std::uint32_t, std::string> pages;
+    Reservation held;
+    lynxstand::Duration took{};
+  };
+  struct Request {
+    Arrived told;
+    std::uint32_t priority = 1;
+    std::uint32_t attempts = 0;
+    bool answered = false;
+    std::optional<Attempt> attempt;
+    Reservation held;
+  };
+  using Requests = std::map<lynxstand::QueryId, Request>;
+  using CallKey = std::pair<SessionId, CallId>;
+
+  struct Wake {
+    std::uint64_t token = 0;
+  };
+  struct Deadline {
+    lynxstand::QueryId query{};
+  };
+  struct Guard {
+    lynxstand::QueryId query{};
+  };
+  struct AttemptTimer {  // time-out, or the end of what a stop may take
+    lynxstand::QueryId query{};
+    SendTag tag = 0;
+    lynxstand::Outcome outcome{};
+  };
+  struct Sweep {};
+  using Timer = std::variant<Wake, Deadline, Guard, AttemptTimer, Sweep>;
+
+  // events
+  void on(Arrived arrived);
+  void on(const BadRequest& bad);
+  void on(const GaveUp& gave_up);
+  void on(const ProbeAsked& probe);
+  void on(const SessionEnded& ended);
+  void on(const LinkUp& up);
+  void on(const LinkEnded& ended);
+  void on(const StopWritten& written);
+  void on(const Answered& answered);
+  void on(const ListChanged& changed);
+  void on(const Leave&);
+
+  // timers
+  void due(const Wake& wake);
+  void due(const Deadline& deadline);
+  void due(const Guard& guard);
+  void due(const AttemptTimer& timer);
+  void due(const Sweep&);
+
+  // actions of the controller
+  void act(const lynxstand::Send& send);
+  void act(const lynxstand::Cancel& cancel);
+  void act(const lynxstand::Refuse& refuse);
+  void act(const lynxstand::Fail& fail);
+  void act(const lynxstand::SetTerms& terms);
+  void act(const lynxstand::WakeAfter& wake);
+  void act(const lynxstand::Probe& probe);
+  void act(const lynxstand::TellPeers&) {}
+  void act(const lynxstand::FollowList&) {}  // the feed is followed all the time
+  void act(const lynxstand::FetchList&) {}
+
+  void step(Time now);
+  void tell(lynxstand::Event event) { told_.push_back(std::move(event)); }
+  void run_controller();
+  void at(Time time, Timer timer) { timers_.emplace(time, std::move(timer)); }
+  Request* open_call(SessionId session, CallId call, lynxstand::QueryId* query);
+  void client_left(lynxstand::QueryId query);
+  void close_call(Request& request);
+  void answered_note(lynxstand::QueryId query, const Attempt& attempt, const EngineAnswer& answer);
+  void answered_served(lynxstand::QueryId query, Request& request, EngineAnswer answer);
+  void answered_rows(lynxstand::QueryId query, Request& request, EngineAnswer answer);
+  void serve(lynxstand::QueryId query, Request& request);
+  void give_up_attempt(lynxstand::QueryId query, Request& request, lynxstand::Outcome outcome);
+  void end_attempt(lynxstand::QueryId query, Request& request, lynxstand::Outcome outcome, bool late_answer);
+  void forget_if_done(Requests::iterator it);
+
+  const config::Config& config_;
+  Budget& budget_;
+  ClientPort& clients_;
+  EnginePort& engines_;
+  Log& log_;
+  Directory directory_;
+  Links links_;
+  lynxstand::AdmissionController controller_;
+  Time now_;
+  Requests requests_;
+  std::map<CallKey, lynxstand::QueryId> calls_;  // the requests that are owed an answer
+  std::multimap<Time, Timer> timers_;
+  std::deque<lynxstand::Event> told_;  // what the controller is yet to hear
+  std::vector<lynxstand::Action> actions_;
+  std::uint64_t last_query_ = 0;
+  SendTag last_tag_ = 0;
+  bool leaving_ = false;
+  Time accept_until_ = Time::max();
+};
+
+}  // namespace yokestream::manager
--- /dev/null
+++ b/src/manager/ports.h
@@ -0,0 +1,117 @@
+// What goes into the core and what comes out of it. No protocol and no socket shows here: a second client
+// protocol needs only a driver of its own that hands in the same events.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "config/members.h"
+#include "lynxstand/admission.h"
+#include "manager/budget.h"
+#include "messages/engine.h"
+
+namespace yokestream::manager {
+
+using lynxstand::Duration;
+using lynxstand::Time;
+
+enum class SessionId : std::uint64_t {};  // one client connection
+enum class LinkId : std::uint64_t {};     // one connection to an engine
+using CallId = std::uint64_t;             // a request on its session, as the client numbers it
+using SendTag = std::uint64_t;            // one attempt's request on a link
+
+// ---------------------------------------------------------------- events
+
+struct Arrived {
+  SessionId session{};
+  CallId call = 0;
+  std::string request_id;
+  lynxstand::ClassId cls{};
+  lynxstand::TenantId tenant{};
+  lynxstand::TableGroupId tables{};
+  double memory_mb = 0;
+  std::optional<Duration> work;
+  Time deadline{};  // fixed when its last byte came
+  bool repeat = false;
+  std::string statement;
+};
+struct BadRequest {  // well formed, but not one that can be served
+  SessionId session{};
+  CallId call = 0;
+  std::string problem;
+};
+struct GaveUp {
+  SessionId session{};
+  CallId call = 0;
+};
+struct ProbeAsked {
+  SessionId session{};
+  CallId call = 0;
+};
+struct SessionEnded {
+  SessionId session{};
+};
+struct LinkUp {
+  LinkId link{};
+};
+struct LinkEnded {  // refused, not up in time, reset, closed or broken
+  LinkId link{};
+  std::string why;
+};
+struct StopWritten {
+  LinkId link{};
+  SendTag tag = 0;
+};
+struct Answered {
+  LinkId link{};
+  EngineAnswer answer;
+};
+struct ListChanged {
+  config::MembersEvent event;
+};
+struct Leave {};  // a planned restart has begun
+using Event = std::variant<Arrived, BadRequest, GaveUp, ProbeAsked, SessionEnded, LinkUp, LinkEnded,
+                           StopWritten, Answered, ListChanged, Leave>;
+
+// ---------------------------------------------------------------- actions
+
+struct Result {
+  std::string rows;
+  Reservation held;
+};
+
+// None of these calls blocks, and none hands in an event before it returns.
+class ClientPort {
+ public:
+  virtual ~ClientPort() = default;
+  virtual void serve(SessionId session, CallId call, Result result) = 0;
+  virtual void refuse(SessionId session, CallId call, Duration come_back_after) = 0;
+  virtual void fail(SessionId session, CallId call, std::string_view why) = 0;
+  virtual void answer_probe(SessionId session, CallId call, bool able) = 0;
+  virtual void close(SessionId session) = 0;  // a SessionEnded follows
+};
+
+class EnginePort {
+ public:
+  virtual ~EnginePort() = default;
+  virtual void open(LinkId link, const config::Endpoint& endpoint, Time deadline) = 0;
+  virtual void send(LinkId link, SendTag tag, EngineRequest request) = 0;
+  // Takes a request back of which nothing has been written yet; false: some of it may have been.
+  virtual bool withdraw(LinkId link, SendTag tag) = 0;
+  virtual void stop(LinkId link, SendTag tag, std::string_view id) = 0;  // a StopWritten follows
+  virtual void nice(LinkId link, std::string_view id, std::uint32_t band) = 0;
+  virtual void fetch(LinkId link, std::string_view id, std::uint32_t page) = 0;
+  virtual void end(LinkId link, std::string_view id) = 0;
+  virtual void close(LinkId link) = 0;  // no further event of this link matters
+};
+
+class Log {
+ public:
+  virtual ~Log() = default;
+  virtual void note(std::string_view line) = 0;
+};
+
+}  // namespace yokestream::manager
--- /dev/null
+++ b/src/net/client_session.h
@@ -0,0 +1,50 @@
+// One client connection: its reader decodes requests, its writer sends answers. MessagePack-RPC; a second
+// client protocol would be a class like this one.
+#pragma once
+
+#include <atomic>
+#include <string>
+
+#include "config/settings.h"
+#include "net/events.h"
+#include "net/thread.h"
+#include "protocol/msgpack_rpc.h"
+
+namespace yokestream::net {
+
+class ClientSession {
+ public:
+  ClientSession(manager::SessionId id, Fd fd, const config::RealSettings& names, Inbox& inbox,
+                manager::Log& log);
+  ~ClientSession();  // breaks off and joins
+
+  void serve(manager::CallId call, manager::Result result);
+  void refuse(manager::CallId call, Duration come_back_after);
+  void fail(manager::CallId call, std::string_view why);
+  void answer_probe(manager::CallId call, bool able);
+  void break_off();
+  void finish() { outbox_.finish(); }  // the connection ends once all answers are written
+
+ private:
+  struct Item {
+    std::string bytes;
+    manager::Reservation held;
+  };
+  void add(std::string bytes, manager::Reservation held = {});
+  void read();
+  void write();
+
+  const manager::SessionId id_;
+  const config::RealSettings& names_;
+  Inbox& inbox_;
+  manager::Log& log_;
+  Socket socket_;
+  Outbox<Item> outbox_;
+  Thread reader_, writer_;  // last: they use the rest
+};
+
+// A client's message as the core is to hear it.
+manager::Event to_event(manager::SessionId session, protocol::ClientMessage message, Time arrived,
+                        const config::RealSettings& names);
+
+}  // namespace yokestream::net
--- /dev/null
+++ b/src/net/clock.h
@@ -0,0 +1,25 @@
+// The one clock of the program: steady, and set against the system's Unix clock.
+#pragma once
+
+#include <chrono>
+
+#include "lynxstand/admission.h"
+
+namespace yokestream::net {
+
+using lynxstand::Duration;
+using lynxstand::Time;
+
+inline Time now() {
+  return Time(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+inline std::chrono::steady_clock::time_point to_steady(Time time) {
+  return std::chrono::steady_clock::time_point(
+      std::chrono::duration_cast<std::chrono::steady_clock::duration>(time.time_since_epoch()));
+}
+inline Time from_unix_ms(std::int64_t ms) {
+  const auto ago = std::chrono::system_clock::now().time_since_epoch() - std::chrono::milliseconds(ms);
+  return now() - std::chrono::duration_cast<Duration>(ago);
+}
+
+}  // namespace yokestream::net
--- /dev/null
+++ b/src/net/queue.h
@@ -0,0 +1,110 @@
+// Bounded queues between threads.
+#pragma once
+
+#include <algorithm>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+#include "net/clock.h"
+
+namespace yokestream::net {
+
+// Many writers, one reader. A full mailbox makes its writers wait, never its reader.
+template <class Event>
+class Mailbox {
+ public:
+  explicit Mailbox(std::size_t bound) : bound_(bound) {}
+
+  void post(Event event) {
+    std::unique_lock lock(mutex_);
+    room_.wait(lock, [&] { return events_.size() < bound_ || closed_; });
+    if (closed_) return;
+    events_.push_back(std::move(event));
+    if (events_.size() == 1) news_.notify_one();
+  }
+  // All that has come, as soon as there is something or `deadline` has passed.
+  std::deque<Event> take_until(Time deadline) {
+    std::unique_lock lock(mutex_);
+    const auto any = [&] { return !events_.empty(); };
+    if (deadline == Time::max())
+      news_.wait(lock, any);
+    else
+      news_.wait_until(lock, to_steady(deadline), any);
+    std::deque<Event> taken;
+    taken.swap(events_);
+    room_.notify_all();
+    return taken;
+  }
+  void close() {  // writers wait no more; what they post is dropped
+    const std::lock_guard lock(mutex_);
+    closed_ = true;
+    room_.notify_all();
+  }
+
+ private:
+  const std::size_t bound_;
+  std::mutex mutex_;
+  std::condition_variable news_, room_;
+  std::deque<Event> events_;
+  bool closed_ = false;
+};
+
+// What waits for a connection's writer. Never makes the one who adds to it wait: over the bound it refuses.
+template <class Item>
+class Outbox {
+ public:
+  explicit Outbox(std::size_t bound_bytes) : bound_(bound_bytes) {}
+
+  bool add(Item item, std::size_t bytes) {
+    const std::lock_guard lock(mutex_);
+    if (closed_ || bytes_ + bytes > bound_) return false;
+    bytes_ += bytes;
+    items_.emplace_back(std::move(item), bytes);
+    news_.notify_one();
+    return true;
+  }
+  // The next item for the writer; nullopt once closed, or finished and empty.
+  std::optional<Item> take() {
+    std::unique_lock lock(mutex_);
+    news_.wait(lock, [&] { return !items_.empty() || closed_ || finishing_; });
+    if (closed_ || items_.empty()) return std::nullopt;
+    Item item = std::move(items_.front().first);
+    bytes_ -= items_.front().second;
+    items_.pop_front();
+    return item;
+  }
+  // Takes back an item that the writer has not taken.
+  template <class Match>
+  bool withdraw(Match match) {
+    const std::lock_guard lock(mutex_);
+    const auto it =
+        std::find_if(items_.begin(), items_.end(), [&](const auto& entry) { return match(entry.first); });
+    if (it == items_.end()) return false;
+    bytes_ -= it->second;
+    items_.erase(it);
+    return true;
+  }
+  void finish() {  // the writer ends once all is written
+    const std::lock_guard lock(mutex_);
+    finishing_ = true;
+    news_.notify_all();
+  }
+  void close() {  // the writer ends now
+    const std::lock_guard lock(mutex_);
+    closed_ = true;
+    news_.notify_all();
+  }
+
+ private:
+  const std::size_t bound_;
+  std::mutex mutex_;
+  std::condition_variable news_;
+  std::deque<std::pair<Item, std::size_t>> items_;
+  std::size_t bytes_ = 0;
+  bool finishing_ = false, closed_ = false;
+};
+
+}  // namespace yokestream::net
--- /dev/null
+++ b/src/net/server.cpp
@@ -0,0 +1,215 @@
+#include "net/server.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+
+#include "protocol/resp.h"
+
+namespace yokestream::net {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kInboxEvents = 4096;
+constexpr std::size_t kBudgetShare = 4;                  // a quarter of the memory for statements and results
+constexpr Duration kDescriptorPause = milliseconds(20);  // when none is free
+constexpr Duration kShortestLeave = milliseconds(3000);
+constexpr Duration kLeaveSpare =
+    milliseconds(500);  // under the 0.7 s that are left beyond the longest deadline
+constexpr Duration kLastWrites = milliseconds(150);  // for answers that are queued when all is over
+
+Duration longest_deadline(const lynxstand::Settings& settings) {
+  Duration longest = kShortestLeave;
+  for (const auto& c : settings.classes) longest = std::max(longest, c.deadline);
+  return longest;
+}
+
+}  // namespace
+
+Undertaker::Undertaker() : dead_(~std::size_t{0}) {
+  thread_ = Thread(kSmallStack, [this] {
+    while (dead_.take()) {
+    }
+  });
+}
+Undertaker::~Undertaker() { dead_.finish(); }
+void Undertaker::bury(std::unique_ptr<ClientSession> session) {
+  session->break_off();
+  dead_.add(std::move(session), 0);
+}
+void Undertaker::bury(std::unique_ptr<EngineLink> link) {
+  link->break_off();
+  dead_.add(std::move(link), 0);
+}
+
+Listener::Listener(const config::Endpoint& endpoint, Inbox& inbox, manager::Log& log)
+    : fd_(listen_on(endpoint)), inbox_(inbox), log_(log) {
+  thread_ = Thread(kSmallStack, [this] { accept_all(); });
+}
+
+Listener::~Listener() {
+  const std::lock_guard lock(mutex_);
+  over_ = true;
+  ::shutdown(fd_.get(), SHUT_RDWR);  // accept() returns
+  ending_.notify_all();
+}
+
+bool Listener::pause() {
+  std::unique_lock lock(mutex_);
+  return !ending_.wait_until(lock, to_steady(now() + kDescriptorPause), [&] { return over_; });
+}
+
+void Listener::accept_all() {
+  bool short_of = false;
+  while (true) {
+    Fd fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC));
+    if (fd) {
+      const int on = 1;
+      setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+      inbox_.post(Accepted{std::move(fd)});
+      short_of = false;
+      continue;
+    }
+    // Guards against an end of descriptors or memory: who waits is accepted when some are free again.
+    const bool passing = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
+    if (passing && !std::exchange(short_of, true)) log_.note("no descriptor is free for a new connection");
+    if (passing ? !pause() : errno == EINVAL || errno == EBADF) return;
+  }
+}
+
+Server::Server(const config::Config& config, manager::Log& log)
+    : config_(config),
+      log_(log),
+      budget_(config.limits.memory_mb * 1024 * 1024 / kBudgetShare),
+      inbox_(kInboxEvents),
+      manager_(config, now(), from_unix_ms, budget_, *this, *this, log) {
+  if (config.feed) feed_ = std::make_unique<FeedFollower>(*config.feed, config.known_number, inbox_, log);
+  listener_ = std::make_unique<Listener>(config.listen, inbox_, log);
+  core_ = Thread(kLargeStack, [this] { run(); });
+}
+
+Server::~Server() {
+  inbox_.close();  // whoever waits to post to it goes on, and ends
+  core_.join();
+  listener_.reset();
+  feed_.reset();
+  sessions_.clear();
+  links_.clear();
+}
+
+void Server::leave() { inbox_.post(manager::Event(manager::Leave{})); }
+
+void Server::wait() { core_.join(); }
+
+void Server::run() {
+  while (true) {
+    const Time time = now();
+    if (manager_.left(time) || (end_by_ && time >= *end_by_)) break;
+    auto events = inbox_.take_until(std::min(manager_.next_due(), end_by_.value_or(Time::max())));
+    for (auto& event : events) take(std::move(event));
+    manager_.tick(now());
+  }
+  close_sessions();
+}
+
+void Server::take(DriverEvent event) {
+  if (auto* accepted = std::get_if<Accepted>(&event)) {
+    const manager::SessionId id{++last_session_};
+    try {
+      sessions_.emplace(
+          id, std::make_unique<ClientSession>(id, std::move(accepted->fd), config_.real, inbox_, log_));
+    } catch (const std::system_error& problem) {
+      log_.note(std::string("a client connection is closed: ") + problem.what());
+    }
+    return;
+  }
+  auto& told = std::get<manager::Event>(event);
+  if (const auto* session = std::get_if<manager::SessionEnded>(&told)) {
+    const auto id = session->session;
+    manager_.handle(now(), std::move(told));
+    if (auto ended = sessions_.extract(id)) undertaker_.bury(std::move(ended.mapped()));
+  } else if (const auto* link = std::get_if<manager::LinkEnded>(&told)) {
+    const auto id = link->link;
+    manager_.handle(now(), std::move(told));
+    close(id);
+  } else {
+    if (std::holds_alternative<manager::Leave>(told) && !end_by_)
+      end_by_ = now() + longest_deadline(config_.settings) + kLeaveSpare;
+    manager_.handle(now(), std::move(told));
+  }
+}
+
+// Answers that are queued still leave; a client that does not read them does not hold up the end.
+void Server::close_sessions() {
+  for (auto& [id, session] : sessions_) session->finish();
+  const Time until = now() + kLastWrites;
+  while (!sessions_.empty() && now() < until) {
+    for (auto& event : inbox_.take_until(until)) {
+      const auto* told = std::get_if<manager::Event>(&event);
+      const auto* ended = told ? std::get_if<manager::SessionEnded>(told) : nullptr;
+      if (ended) sessions_.erase(ended->session);
+    }
+  }
+}
+
+ClientSession* Server::find(manager::SessionId session) {
+  const auto it = sessions_.find(session);
+  return it == sessions_.end() ? nullptr : it->second.get();
+}
+EngineLink* Server::find(manager::LinkId link) {
+  const auto it = links_.find(link);
+  return it == links_.end() ? nullptr : it->second.get();
+}
+
+void Server::serve(manager::SessionId session, manager::CallId call, manager::Result result) {
+  if (auto* s = find(session)) s->serve(call, std::move(result));
+}
+void Server::refuse(manager::SessionId session, manager::CallId call, Duration come_back_after) {
+  if (auto* s = find(session)) s->refuse(call, come_back_after);
+}
+void Server::fail(manager::SessionId session, manager::CallId call, std::string_view why) {
+  if (auto* s = find(session)) s->fail(call, why);
+}
+void Server::answer_probe(manager::SessionId session, manager::CallId call, bool able) {
+  if (auto* s = find(session)) s->answer_probe(call, able);
+}
+void Server::close(manager::SessionId session) {
+  if (auto* s = find(session)) s->break_off();
+}
+
+void Server::open(manager::LinkId link, const config::Endpoint& endpoint, Time deadline) {
+  try {
+    links_.emplace(
+        link, std::make_unique<EngineLink>(link, endpoint, deadline, config_.real.report_fields, inbox_));
+  } catch (const std::system_error& problem) {
+    log_.note(std::string("a connection to an engine can't be opened: ") + problem.what());
+  }
+}
+void Server::send(manager::LinkId link, manager::SendTag tag, EngineRequest request) {
+  if (auto* l = find(link)) l->send(tag, std::move(request));
+}
+bool Server::withdraw(manager::LinkId link, manager::SendTag tag) {
+  auto* l = find(link);
+  return l && l->withdraw(tag);
+}
+void Server::stop(manager::LinkId link, manager::SendTag tag, std::string_view id) {
+  if (auto* l = find(link)) l->stop(tag, id);
+}
+void Server::nice(manager::LinkId link, std::string_view id, std::uint32_t band) {
+  if (auto* l = find(link)) l->say(protocol::encode_nice(id, band));
+}
+void Server::fetch(manager::LinkId link, std::string_view id, std::uint32_t page) {
+  if (auto* l = find(link)) l->say(protocol::encode_fetch(id, page));
+}
+void Server::end(manager::LinkId link, std::string_view id) {
+  if (auto* l = find(link)) l->say(protocol::encode_end(id));
+}
+void Server::close(manager::LinkId link) {
+  if (auto closed = links_.extract(link)) undertaker_.bury(std::move(closed.mapped()));
+}
+
+}  // namespace yokestream::net
--- /dev/null
+++ b/src/net/server.h
@@ -0,0 +1,100 @@
+// The whole manager on sockets: the listener, all connections, the feed, and the thread that owns the core.
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+
+#include "config/config.h"
+#include "manager/manager.h"
+#include "net/client_session.h"
+#include "net/engine_link.h"
+#include "net/events.h"
+#include "net/feed_follower.h"
+#include "net/thread.h"
+
+namespace yokestream::net {
+
+// Destroys connections, which joins their threads, on a thread of its own: the core never waits for one.
+class Undertaker {
+ public:
+  Undertaker();
+  ~Undertaker();
+  void bury(std::unique_ptr<ClientSession> session);
+  void bury(std::unique_ptr<EngineLink> link);
+
+ private:
+  using Connection = std::variant<std::unique_ptr<ClientSession>, std::unique_ptr<EngineLink>>;
+  Outbox<Connection> dead_;
+  Thread thread_;
+};
+
+class Listener {
+ public:
+  Listener(const config::Endpoint& endpoint, Inbox& inbox, manager::Log& log);
+  ~Listener();
+  config::Endpoint endpoint() const { return local_endpoint(fd_); }
+
+ private:
+  void accept_all();
+  bool pause();
+
+  Fd fd_;
+  Inbox& inbox_;
+  manager::Log& log_;
+  std::mutex mutex_;
+  std::condition_variable ending_;
+  bool over_ = false;
+  Thread thread_;
+};
+
+class Server : private manager::ClientPort, private manager::EnginePort {
+ public:
+  Server(const config::Config& config, manager::Log& log);  // throws std::system_error; serves from then on
+  ~Server();
+  config::Endpoint endpoint() const { return listener_->endpoint(); }
+  void leave();  // starts the end: what comes meanwhile is still served
+  void wait();   // until it has come
+
+ private:
+  void run();
+  void take(DriverEvent event);
+  void close_sessions();
+
+  void serve(manager::SessionId session, manager::CallId call, manager::Result result) override;
+  void refuse(manager::SessionId session, manager::CallId call, Duration come_back_after) override;
+  void fail(manager::SessionId session, manager::CallId call, std::string_view why) override;
+  void answer_probe(manager::SessionId session, manager::CallId call, bool able) override;
+  void close(manager::SessionId session) override;
+
+  void open(manager::LinkId link, const config::Endpoint& endpoint, Time deadline) override;
+  void send(manager::LinkId link, manager::SendTag tag, EngineRequest request) override;
+  bool withdraw(manager::LinkId link, manager::SendTag tag) override;
+  void stop(manager::LinkId link, manager::SendTag tag, std::string_view id) override;
+  void nice(manager::LinkId link, std::string_view id, std::uint32_t band) override;
+  void fetch(manager::LinkId link, std::string_view id, std::uint32_t page) override;
+  void end(manager::LinkId link, std::string_view id) override;
+  void close(manager::LinkId link) override;
+
+  ClientSession* find(manager::SessionId session);
+  EngineLink* find(manager::LinkId link);
+
+  const config::Config& config_;
+  manager::Log& log_;
+  manager::Budget budget_;
+  Inbox inbox_;
+  Undertaker undertaker_;
+  std::map<manager::SessionId, std::unique_ptr<ClientSession>> sessions_;  // the core's thread only
+  std::map<manager::LinkId, std::unique_ptr<EngineLink>> links_;           // the core's thread only
+  std::uint64_t last_session_ = 0;
+  std::optional<Time> end_by_;  // at the latest, once told to leave
+  manager::Manager manager_;
+  std::unique_ptr<FeedFollower> feed_;
+  std::unique_ptr<Listener> listener_;
+  Thread core_;  // last: it uses the rest
+};
+
+}  // namespace yokestream::net
--- /dev/null
+++ b/src/net/socket.cpp
@@ -0,0 +1,113 @@
+#include "net/socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <system_error>
+
+namespace yokestream::net {
+namespace {
+
+sockaddr_in address_of(const config::Endpoint& endpoint) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(endpoint.port);
+  inet_pton(AF_INET, endpoint.host.c_str(), &address.sin_addr);
+  return address;
+}
+
+// The kernel counts from the call, so what is left until the deadline is set right before it.
+void bound_by(int fd, int option, Time deadline) {
+  const auto left = std::max<std::int64_t>(
+      1000, std::chrono::duration_cast<std::chrono::microseconds>(deadline - now()).count());
+  const timeval value{static_cast<time_t>(left / 1000000), static_cast<suseconds_t>(left % 1000000)};
+  setsockopt(fd, SOL_SOCKET, option, &value, sizeof value);
+}
+
+}  // namespace
+
+Fd::~Fd() {
+  if (fd_ >= 0) ::close(fd_);
+}
+
+bool Socket::connect(const config::Endpoint& endpoint, Time deadline, std::string* why) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (broken_) return false;
+    fd_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  }
+  const int fd = fd_.get();
+  const sockaddr_in address = address_of(endpoint);
+  bool up = false;
+  if (fd >= 0) {
+    bound_by(fd, SO_SNDTIMEO, deadline);
+    up = ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+  }
+  if (!up) {
+    *why = errno == EINPROGRESS ? "not up in time" : std::strerror(errno);
+    return false;
+  }
+  const timeval forever{0, 0};
+  setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &forever, sizeof forever);
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  return true;
+}
+
+std::size_t Socket::read(char* into, std::size_t size) {
+  ssize_t got = 0;
+  do {
+    got = ::recv(fd_.get(), into, size, 0);
+  } while (got < 0 && errno == EINTR);
+  return got > 0 ? static_cast<std::size_t>(got) : 0;
+}
+
+std::size_t Socket::read_until(char* into, std::size_t size, Time deadline) {
+  bound_by(fd_.get(), SO_RCVTIMEO, deadline);
+  return read(into, size);
+}
+
+bool Socket::write(std::string_view bytes) {
+  while (!bytes.empty()) {
+    const ssize_t sent = ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (sent < 0 && errno == EINTR) continue;
+    if (sent <= 0) return false;
+    bytes.remove_prefix(static_cast<std::size_t>(sent));
+  }
+  return true;
+}
+
+void Socket::break_off() {
+  const std::lock_guard lock(mutex_);
+  broken_ = true;
+  if (fd_) ::shutdown(fd_.get(), SHUT_RDWR);
+}
+
+Fd listen_on(const config::Endpoint& endpoint) {
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  const int on = 1;
+  const sockaddr_in address = address_of(endpoint);
+  if (!fd || setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+      ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
+      ::listen(fd.get(), SOMAXCONN) != 0)
+    throw std::system_error(errno, std::generic_category(), "cannot listen on " + to_string(endpoint));
+  return fd;
+}
+
+config::Endpoint local_endpoint(const Fd& fd) {
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  getsockname(fd.get(), reinterpret_cast<sockaddr*>(&address), &size);
+  char host[INET_ADDRSTRLEN] = {};
+  inet_ntop(AF_INET, &address.sin_addr, host, sizeof host);
+  return {host, ntohs(address.sin_port)};
+}
+
+}  // namespace yokestream::net
--- /dev/null
+++ b/src/net/socket.h
@@ -0,0 +1,54 @@
+// Blocking TCP sockets.
+#pragma once
+
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "config/members.h"
+#include "net/clock.h"
+
+namespace yokestream::net {
+
+class Fd {
+ public:
+  Fd() = default;
+  explicit Fd(int fd) : fd_(fd) {}
+  Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Fd& operator=(Fd&& other) noexcept {
+    std::swap(fd_, other.fd_);
+    return *this;
+  }
+  ~Fd();
+  int get() const { return fd_; }
+  explicit operator bool() const { return fd_ >= 0; }
+
+ private:
+  int fd_ = -1;
+};
+
+// A connected socket that one thread reads, one writes and a third may break off. The descriptor itself is
+// closed only with the object, when no thread uses it any more.
+class Socket {
+ public:
+  Socket() = default;
+  explicit Socket(Fd fd) : fd_(std::move(fd)) {}
+
+  bool connect(const config::Endpoint& endpoint, Time deadline, std::string* why);
+  // The bytes that came; 0: the end, or broken off, or nothing came by `deadline`.
+  std::size_t read(char* into, std::size_t size);
+  std::size_t read_until(char* into, std::size_t size, Time deadline);
+  bool write(std::string_view bytes);  // false: broken; some of it may have left
+  void break_off();                    // whoever reads or writes returns
+
+ private:
+  std::mutex mutex_;
+  Fd fd_;
+  bool broken_ = false;
+};
+
+Fd listen_on(const config::Endpoint& endpoint);  // throws std::system_error
+config::Endpoint local_endpoint(const Fd& fd);
+
+}  // namespace yokestream::net
--- /dev/null
+++ b/src/net/thread.h
@@ -0,0 +1,58 @@
+// A thread with a small stack that is joined when its owner goes.
+#pragma once
+
+#include <pthread.h>
+
+#include <functional>
+#include <memory>
+#include <system_error>
+#include <utility>
+
+namespace yokestream::net {
+
+// Measured high-water marks are in docs/memory.md; sanitizers need several times as much.
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+constexpr std::size_t kSmallStack = 1024 * 1024;
+constexpr std::size_t kLargeStack = 4 * 1024 * 1024;
+#else
+constexpr std::size_t kSmallStack = 64 * 1024;   // readers and writers
+constexpr std::size_t kLargeStack = 512 * 1024;  // the core, and what parses JSON
+#endif
+
+class Thread {
+ public:
+  Thread() = default;
+  Thread(std::size_t stack, std::function<void()> body) {
+    pthread_attr_t attributes;
+    pthread_attr_init(&attributes);
+    pthread_attr_setstacksize(&attributes, stack);
+    auto owned = std::make_unique<std::function<void()>>(std::move(body));
+    const int error = pthread_create(&thread_, &attributes, &Thread::start, owned.get());
+    pthread_attr_destroy(&attributes);
+    if (error != 0) throw std::system_error(error, std::generic_category(), "pthread_create");
+    owned.release();
+    running_ = true;
+  }
+  Thread(Thread&& other) noexcept : thread_(other.thread_), running_(std::exchange(other.running_, false)) {}
+  Thread& operator=(Thread&& other) noexcept {
+    join();
+    thread_ = other.thread_;
+    running_ = std::exchange(other.running_, false);
+    return *this;
+  }
+  ~Thread() { join(); }
+  void join() {
+    if (std::exchange(running_, false)) pthread_join(thread_, nullptr);
+  }
+
+ private:
+  static void* start(void* body) {
+    const std::unique_ptr<std::function<void()>> owned(static_cast<std::function<void()>*>(body));
+    (*owned)();
+    return nullptr;
+  }
+  pthread_t thread_{};
+  bool running_ = false;
+};
+
+}  // namespace yokestream::net
--- /dev/null
+++ b/src/protocol/msgpack_rpc.h
@@ -0,0 +1,66 @@
+// MessagePack-RPC as clients speak it: requests and notifications in, responses out. Knows no socket and no
+// clock.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "protocol/error.h"
+
+namespace yokestream::protocol {
+
+using Fields = std::map<std::string, std::string>;
+
+struct Call {  // [0, id, method, [FIELDS, BODY]]
+  std::uint64_t id = 0;
+  std::string method;
+  Fields fields;
+  std::string body;
+};
+struct GiveUp {  // [2, "giveUp", [id]]
+  std::uint64_t id = 0;
+};
+struct Probe {  // [0, id, "probe", [FIELDS]]
+  std::uint64_t id = 0;
+};
+struct BadCall {  // a well-formed request whose parameters are not those of a call
+  std::uint64_t id = 0;
+  std::string problem;
+};
+struct OtherNotice {};  // a notification that is not known here
+using ClientMessage = std::variant<Call, GiveUp, Probe, BadCall, OtherNotice>;
+
+// Fed bytes as they come, in pieces of any size; yields whole messages. Remembers how far it has looked, so
+// no byte of a message is scanned twice for its end.
+class MsgpackReader {
+ public:
+  struct Bounds {
+    std::size_t message_bytes = 128 * 1024;
+    std::size_t depth = 8;
+    std::size_t elements = 256;  // of one array or map
+  };
+  explicit MsgpackReader(Bounds bounds);
+  MsgpackReader() : MsgpackReader(Bounds{}) {}
+
+  void feed(std::string_view bytes) { buffer_.append(bytes); }
+  std::optional<ClientMessage> next();  // throws ProtocolError
+
+ private:
+  bool scan();  // true once a whole message lies in front
+  Bounds bounds_;
+  std::string buffer_;
+  std::size_t scanned_ = 0;
+  std::vector<std::size_t> open_;  // elements still missing, by level
+};
+
+std::string encode_result(std::uint64_t id, std::string_view body, const Fields& fields);
+std::string encode_error(std::uint64_t id, std::string_view word, const Fields& fields);
+std::string encode_probe_answer(std::uint64_t id, bool able);
+
+}  // namespace yokestream::protocol
--- /dev/null
+++ b/src/protocol/resp.cpp
@@ -0,0 +1,174 @@
+#include "protocol/resp.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <initializer_list>
+#include <utility>
+
+namespace yokestream::protocol {
+namespace {
+
+using std::string;
+using std::string_view;
+
+string array_of(std::initializer_list<string_view> parts) {
+  string out;
+  out.append("*").append(std::to_string(parts.size())).append("\r\n");
+  for (const auto part : parts) {
+    out.append("$").append(std::to_string(part.size())).append("\r\n").append(part).append("\r\n");
+  }
+  return out;
+}
+
+template <class Number>
+std::optional<Number> parse(string_view text) {
+  Number n{};
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), n);
+  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return n;
+}
+std::optional<double> parse_real(string_view text) {
+  const auto n = parse<double>(text);
+  return n && std::isfinite(*n) ? n : std::nullopt;
+}
+
+// Calls `take(name, value)` for each name<mark>value of a list.
+template <class Take>
+void each_pair(string_view list, char between, char mark, Take take) {
+  while (!list.empty()) {
+    const auto end = list.find(between);
+    const string_view pair = list.substr(0, end);
+    list.remove_prefix(end == string_view::npos ? list.size() : end + 1);
+    const auto at = pair.find(mark);
+    if (at != string_view::npos) take(pair.substr(0, at), pair.substr(at + 1));
+  }
+}
+
+AnswerWord word_of(string_view text) {
+  constexpr std::array<std::pair<string_view, AnswerWord>, 7> words{{{"served", AnswerWord::served},
+                                                                     {"overload", AnswerWord::overload},
+                                                                     {"crashed", AnswerWord::crashed},
+                                                                     {"nobody", AnswerWord::nobody},
+                                                                     {"update", AnswerWord::update},
+                                                                     {"rows", AnswerWord::rows},
+                                                                     {"green", AnswerWord::green}}};
+  for (const auto& [word, meaning] : words) {
+    if (word == text) return meaning;
+  }
+  return AnswerWord::other;
+}
+
+Remark remark_of(string_view text) {
+  if (text == "progress") return Remark::progress;
+  if (text == "spill_mb") return Remark::spill_mb;
+  if (text == "blocked") return Remark::blocked;
+  return Remark::none;
+}
+
+template <class Number>
+Number required(string_view name, const std::optional<Number>& value) {
+  if (!value) throw ProtocolError("an answer whose field " + string(name) + " is no number");
+  return *value;
+}
+
+}  // namespace
+
+string encode_request(const EngineRequest& request, lynxstand::Time now) {
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - now).count();
+  string fields = "profile=" + request.profile + ",max=" + std::to_string(std::max<std::int64_t>(1, left));
+  if (request.band != 1) fields += ",band=" + std::to_string(request.band);
+  return array_of({"REQ", request.id, fields, request.statement});
+}
+string encode_stop(string_view id) { return array_of({"STOP", id}); }
+string encode_nice(string_view id, std::uint32_t band) {
+  return array_of({"NICE", id, std::to_string(band)});
+}
+string encode_fetch(string_view id, std::uint32_t page) {
+  return array_of({"FETCH", id, std::to_string(page)});
+}
+string encode_end(string_view id) { return array_of({"END", id}); }
+
+RespReader::RespReader(std::vector<string> report_fields, Bounds bounds)
+    : report_fields_(std::move(report_fields)), bounds_(bounds) {}
+
+// A line of a mark and a number; nullopt while it is not whole.
+std::optional<std::uint64_t> RespReader::number(char mark) {
+  const string_view rest = string_view(buffer_).substr(at_);
+  if (rest.empty()) return std::nullopt;
+  if (rest[0] != mark) throw ProtocolError(string("expected '") + mark + "'");
+  const auto end = rest.find('\n');
+  if (end == string_view::npos) {
+    if (rest.size() > bounds_.number_bytes) throw ProtocolError("a length that does not end");
+    return std::nullopt;
+  }
+  if (end < 2 || rest[end - 1] != '\r') throw ProtocolError("a length that is no line");
+  const auto n = parse<std::uint64_t>(rest.substr(1, end - 2));
+  if (!n) throw ProtocolError("a length that is no number");
+  at_ += end + 1;
+  return n;
+}
+
+bool RespReader::scan() {
+  if (!missing_) {
+    const auto count = number('*');
+    if (!count) return false;
+    if (*count < 2 || *count > bounds_.parts) throw ProtocolError("an answer of too few or too many parts");
+    missing_ = static_cast<std::size_t>(*count);
+  }
+  while (*missing_ > 0) {
+    if (!text_) {
+      const auto length = number('$');
+      if (!length) return false;
+      if (*length > bounds_.text_bytes) throw ProtocolError("a text that is too long");
+      text_ = static_cast<std::size_t>(*length);
+    }
+    if (buffer_.size() < at_ + *text_ + 2) return false;
+    if (buffer_.compare(at_ + *text_, 2, "\r\n") != 0) throw ProtocolError("a text longer than told");
+    parts_.emplace_back(at_, *text_);
+    at_ += *text_ + 2;
+    text_.reset();
+    --*missing_;
+  }
+  return true;
+}
+
+EngineAnswer RespReader::decode() {
+  const auto part = [&](std::size_t i) {
+    return i < parts_.size() ? string_view(buffer_).substr(parts_[i].first, parts_[i].second) : string_view();
+  };
+  EngineAnswer answer;
+  answer.id = part(0);
+  answer.word = word_of(part(1));
+  answer.body = part(3);
+  if (part(2) == "-") return answer;
+  each_pair(part(2), ',', '=', [&](string_view name, string_view value) {
+    if (name == "total") answer.pages = required(name, parse<std::uint32_t>(value));
+    if (name == "index") answer.page = required(name, parse<std::uint32_t>(value));
+    if (name == "remark") answer.remark = remark_of(value);
+    if (name == "datum") answer.datum = required(name, parse_real(value));
+    if (name == "elapsed") answer.elapsed_ms = required(name, parse_real(value));
+    if (name == "rss") answer.rss_mb = required(name, parse_real(value));
+    if (name != "report") return;
+    answer.report.assign(report_fields_.size(), -1.0);
+    each_pair(value, ';', ':', [&](string_view field, string_view figure) {
+      for (std::size_t i = 0; i < report_fields_.size(); ++i) {
+        if (report_fields_[i] == field) answer.report[i] = required(field, parse_real(figure));
+      }
+    });
+  });
+  return answer;
+}
+
+std::optional<EngineAnswer> RespReader::next() {
+  if (!scan()) return std::nullopt;
+  EngineAnswer answer = decode();
+  buffer_.erase(0, at_);
+  at_ = 0;
+  missing_.reset();
+  parts_.clear();
+  return answer;
+}
+
+}  // namespace yokestream::protocol
