Wait for an engine to confirm a stop before the next attempt is sent

Notes on the ends of attempts and on second sends showed that all but a few second sends followed a cancelled attempt, more than half of them at the same engine on another connection. Ruled out: two attempts in the core's own table (each second send followed the end of the first), late writing (the wait began when the stop was written). Cause: manager.cpp, on(StopWritten): a stop still takes 4 to 49 ms (median 12) to be read by the engine. Now HELO follows STOP on the same connection, and the attempt ends when its answer has come; after 1 s without it the connection is closed.

--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -14,11 +14,10 @@
 
 constexpr Duration kGuardDelay = milliseconds(8);  // past the deadline: the module should have answered
 constexpr Duration kSweepEvery = milliseconds(500);
-// Guards against two attempts at once: a stop and the next send leave on two connections, so the next send
-// waits until the stop has been written and had time to arrive.
-constexpr Duration kStopSettles = milliseconds(3);
-constexpr Duration kStopWritten =
-    milliseconds(150);  // a stop that can't be written by then: the link is closed
+// Guards against two attempts at once: a stop and the next send leave on two connections and may overtake
+// each other, so the next send waits until the engine has confirmed that it read the stop. Where it does not,
+// the link is closed, which gives up all that is open on it.
+constexpr Duration kStopConfirmed = milliseconds(1000);
 constexpr Duration kSilenceOver = milliseconds(1000);  // beyond the time between two notes
 constexpr Duration kBusyWait = milliseconds(500);      // advice to a client when this manager itself is full
 // After the word to leave clients still find this manager for a while: it serves what comes until then.
@@ -37,6 +36,8 @@
 
 Duration from_ms(double ms) { return Duration(static_cast<Duration::rep>(std::clamp(ms, 0.0, 1e12) * 1e6)); }
 
+std::string hello_tag(SendTag tag) { return "stop-" + std::to_string(tag); }
+
 Outcome outcome_of(AnswerWord word) {
   if (word == AnswerWord::overload) return Outcome::shed;
   if (word == AnswerWord::nobody) return Outcome::never_sent;
@@ -206,13 +207,12 @@
   links_.drop(ended.link);
 }
 
-void Manager::on(const StopWritten& written) {
-  Link* link = links_.find(written.link);
-  if (!link) return;
-  for (const auto& [id, query] : link->carries) {
-    const Request& request = requests_.at(query);
-    if (request.attempt->tag == written.tag)
-      at(now_ + kStopSettles, AttemptTimer{query, written.tag, Outcome::cancelled});
+// Engines answer in the order of what they read, so one that has answered the greeting has read the stop.
+void Manager::stop_confirmed(const Link& link, const std::string& tag) {
+  for (const auto& [id, query] : link.carries) {
+    Request& request = requests_.at(query);
+    if (hello_tag(request.attempt->tag) != tag) continue;
+    return end_attempt(query, request, Outcome::cancelled, true);
   }
 }
 
@@ -221,6 +221,7 @@
   if (!link) return;
   link->heard = now_;
   const EngineAnswer& answer = answered.answer;
+  if (answer.word == AnswerWord::green) return stop_confirmed(*link, answer.id);
   const auto carried = link->carries.find(answer.id);
   if (carried == link->carries.end()) return;  // late: its attempt has ended
   const QueryId query = carried->second;
@@ -306,7 +307,7 @@
   if (attempt.phase == Phase::fetching)
     engines_.end(attempt.link, request.told.request_id);  // it ran: only its pages are left to give up
   else if (!unwritten && attempt.phase != Phase::stopping)
-    engines_.stop(attempt.link, attempt.tag, request.told.request_id);
+    engines_.stop(attempt.link, request.told.request_id);
   end_attempt(query, request, outcome, !unwritten);
 }
 
@@ -372,12 +373,9 @@
   Attempt& attempt = *it->second.attempt;
   if (timer.outcome == Outcome::timed_out)
     return give_up_attempt(timer.query, it->second, Outcome::timed_out);
-  if (timer.outcome == Outcome::cancelled)
-    return end_attempt(timer.query, it->second, Outcome::cancelled, true);
-  // The stop could not be written: closing the link gives up all that is open on it.
   const LinkId link = attempt.link;
   engines_.close(link);
-  on(LinkEnded{link, "a stop could not be written"});
+  on(LinkEnded{link, "a stop was not confirmed"});
 }
 
 void Manager::due(const Sweep&) {
@@ -441,9 +439,11 @@
   }
   if (engines_.withdraw(attempt.link, attempt.tag))
     return end_attempt(cancel.query, request, Outcome::never_sent, false);
+  if (request.answered) return give_up_attempt(cancel.query, request, Outcome::cancelled);
   attempt.phase = Phase::stopping;
-  engines_.stop(attempt.link, attempt.tag, request.told.request_id);
-  at(now_ + kStopWritten, AttemptTimer{cancel.query, attempt.tag, Outcome::reset});
+  engines_.stop(attempt.link, request.told.request_id);
+  engines_.hello(attempt.link, hello_tag(attempt.tag));
+  at(now_ + kStopConfirmed, AttemptTimer{cancel.query, attempt.tag, Outcome::reset});
 }
 
 void Manager::act(const lynxstand::Refuse& refuse) {
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -79,7 +79,6 @@
   void on(const SessionEnded& ended);
   void on(const LinkUp& up);
   void on(const LinkEnded& ended);
-  void on(const StopWritten& written);
   void on(const Answered& answered);
   void on(const ListChanged& changed);
   void on(const Leave&);
@@ -110,6 +109,7 @@
   Request* open_call(SessionId session, CallId call, lynxstand::QueryId* query);
   void client_left(lynxstand::QueryId query);
   void close_call(Request& request);
+  void stop_confirmed(const Link& link, const std::string& tag);
   void answered_note(lynxstand::QueryId query, const Attempt& attempt, const EngineAnswer& answer);
   void answered_served(lynxstand::QueryId query, Request& request, EngineAnswer answer);
   void answered_rows(lynxstand::QueryId query, Request& request, EngineAnswer answer);
--- a/src/manager/ports.h
+++ b/src/manager/ports.h
@@ -61,10 +61,6 @@
   LinkId link{};
   std::string why;
 };
-struct StopWritten {
-  LinkId link{};
-  SendTag tag = 0;
-};
 struct Answered {
   LinkId link{};
   EngineAnswer answer;
@@ -73,8 +69,8 @@
   config::MembersEvent event;
 };
 struct Leave {};  // a planned restart has begun
-using Event = std::variant<Arrived, BadRequest, GaveUp, ProbeAsked, SessionEnded, LinkUp, LinkEnded,
-                           StopWritten, Answered, ListChanged, Leave>;
+using Event = std::variant<Arrived, BadRequest, GaveUp, ProbeAsked, SessionEnded, LinkUp, LinkEnded, Answered,
+                           ListChanged, Leave>;
 
 // ---------------------------------------------------------------- actions
 
@@ -101,7 +97,8 @@
   virtual void send(LinkId link, SendTag tag, EngineRequest request) = 0;
   // Takes a request back of which nothing has been written yet; false: some of it may have been.
   virtual bool withdraw(LinkId link, SendTag tag) = 0;
-  virtual void stop(LinkId link, SendTag tag, std::string_view id) = 0;  // a StopWritten follows
+  virtual void stop(LinkId link, std::string_view id) = 0;
+  virtual void hello(LinkId link, std::string_view tag) = 0;  // answered `green` under its tag
   virtual void nice(LinkId link, std::string_view id, std::uint32_t band) = 0;
   virtual void fetch(LinkId link, std::string_view id, std::uint32_t page) = 0;
   virtual void end(LinkId link, std::string_view id) = 0;
--- a/src/net/engine_link.cpp
+++ b/src/net/engine_link.cpp
@@ -42,12 +42,6 @@
       [&](const Item& item) { return item.tag == tag && std::holds_alternative<EngineRequest>(item.what); });
 }
 
-void EngineLink::stop(manager::SendTag tag, std::string_view id) {
-  std::string bytes = protocol::encode_stop(id);
-  const std::size_t size = bytes.size();
-  add(Item{tag, std::move(bytes)}, size);
-}
-
 void EngineLink::say(std::string bytes) {
   const std::size_t size = bytes.size();
   add(Item{0, std::move(bytes)}, size);
@@ -67,7 +61,6 @@
     const bool written = socket_.write(request ? protocol::encode_request(*request, now())
                                                : std::get<std::string>(item->what));
     if (!written) break;
-    if (!request && item->tag != 0) inbox_.post(manager::Event(manager::StopWritten{id_, item->tag}));
   }
   socket_.break_off();
   ended("broken off");
--- a/src/net/engine_link.h
+++ b/src/net/engine_link.h
@@ -20,7 +20,6 @@
 
   void send(manager::SendTag tag, EngineRequest request);
   bool withdraw(manager::SendTag tag);
-  void stop(manager::SendTag tag, std::string_view id);
   void say(std::string bytes);
   void break_off();
 
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -196,8 +196,11 @@
   auto* l = find(link);
   return l && l->withdraw(tag);
 }
-void Server::stop(manager::LinkId link, manager::SendTag tag, std::string_view id) {
-  if (auto* l = find(link)) l->stop(tag, id);
+void Server::stop(manager::LinkId link, std::string_view id) {
+  if (auto* l = find(link)) l->say(protocol::encode_stop(id));
+}
+void Server::hello(manager::LinkId link, std::string_view tag) {
+  if (auto* l = find(link)) l->say(protocol::encode_hello(tag));
 }
 void Server::nice(manager::LinkId link, std::string_view id, std::uint32_t band) {
   if (auto* l = find(link)) l->say(protocol::encode_nice(id, band));
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -73,7 +73,8 @@
   void open(manager::LinkId link, const config::Endpoint& endpoint, Time deadline) override;
   void send(manager::LinkId link, manager::SendTag tag, EngineRequest request) override;
   bool withdraw(manager::LinkId link, manager::SendTag tag) override;
-  void stop(manager::LinkId link, manager::SendTag tag, std::string_view id) override;
+  void stop(manager::LinkId link, std::string_view id) override;
+  void hello(manager::LinkId link, std::string_view tag) override;
   void nice(manager::LinkId link, std::string_view id, std::uint32_t band) override;
   void fetch(manager::LinkId link, std::string_view id, std::uint32_t page) override;
   void end(manager::LinkId link, std::string_view id) override;
--- a/src/protocol/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -82,6 +82,7 @@
   return array_of({"REQ", request.id, fields, request.statement});
 }
 string encode_stop(string_view id) { return array_of({"STOP", id}); }
+string encode_hello(string_view tag) { return array_of({"HELO", tag}); }
 string encode_nice(string_view id, std::uint32_t band) {
   return array_of({"NICE", id, std::to_string(band)});
 }
--- a/src/protocol/resp.h
+++ b/src/protocol/resp.h
@@ -15,6 +15,7 @@
 // `now` turns the deadline that travels with the request into the time that is left.
 std::string encode_request(const EngineRequest& request, lynxstand::Time now);
 std::string encode_stop(std::string_view id);
+std::string encode_hello(std::string_view tag);
 std::string encode_nice(std::string_view id, std::uint32_t band);
 std::string encode_fetch(std::string_view id, std::uint32_t page);
 std::string encode_end(std::string_view id);
