--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -13,10 +13,12 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kGuardDelay = milliseconds(8);  // past the deadline: the module should have answered
+// Guards against a late last answer on a busy core. The module words it, and takes 20 ms as close enough.
+constexpr Duration kAnswerBefore = milliseconds(15);
 constexpr Duration kSweepEvery = milliseconds(500);
 // Guards against two attempts at once: a stop and the next send leave on two connections and may overtake
-// each other, so the next send waits until the engine has confirmed that it read the stop. Where it does not,
-// the link is closed, which gives up all that is open on it.
+// each other, so the next send waits until the engine has confirmed that it read the stop. Where
+// nothing at all comes meanwhile, the link is closed, which gives up all that is open on it.
 constexpr Duration kStopConfirmed = milliseconds(1000);
 constexpr Duration kSilenceOver = milliseconds(1000);  // beyond the time between two notes
 constexpr Duration kBusyWait = milliseconds(500);      // advice to a client when this manager itself is full
@@ -131,7 +133,7 @@
   q.work = arrived.work;
   q.time_left = arrived.deadline - now_;
   q.repeat = arrived.repeat;
-  at(arrived.deadline, Deadline{query});
+  at(arrived.deadline - kAnswerBefore, Deadline{query});
   at(arrived.deadline + kGuardDelay, Guard{query});
   calls_.emplace(key, query);
   Request request;
@@ -374,6 +376,8 @@
   if (timer.outcome == Outcome::timed_out)
     return give_up_attempt(timer.query, it->second, Outcome::timed_out);
   const LinkId link = attempt.link;
+  if (links_.find(link)->heard > timer.since)  // it is only slow: closing it would cost all that runs there
+    return at(now_ + kStopConfirmed, AttemptTimer{timer.query, timer.tag, timer.outcome, now_});
   engines_.close(link);
   on(LinkEnded{link, "a stop was not confirmed"});
 }
@@ -415,7 +419,7 @@
   Time until = request.told.deadline;
   if (send.time_out > Duration{} && now_ + send.time_out < until) {
     until = now_ + send.time_out;
-    at(until, AttemptTimer{send.query, attempt.tag, Outcome::timed_out});
+    at(until, AttemptTimer{send.query, attempt.tag, Outcome::timed_out, now_});
   }
   EngineRequest out;
   out.id = id;
@@ -443,7 +447,7 @@
   attempt.phase = Phase::stopping;
   engines_.stop(attempt.link, request.told.request_id);
   engines_.hello(attempt.link, hello_tag(attempt.tag));
-  at(now_ + kStopConfirmed, AttemptTimer{cancel.query, attempt.tag, Outcome::reset});
+  at(now_ + kStopConfirmed, AttemptTimer{cancel.query, attempt.tag, Outcome::reset, now_});
 }
 
 void Manager::act(const lynxstand::Refuse& refuse) {
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -67,6 +67,7 @@
     lynxstand::QueryId query{};
     SendTag tag = 0;
     lynxstand::Outcome outcome{};
+    Time since{};
   };
   struct Sweep {};
   using Timer = std::variant<Wake, Deadline, Guard, AttemptTimer, Sweep>;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t kInboxEvents = 4096;
 constexpr std::size_t kBudgetShare = 4;                  // a quarter of the memory for statements and results
 constexpr Duration kDescriptorPause = milliseconds(20);  // when none is free
+constexpr Duration kSlowTurn = milliseconds(40);
 constexpr Duration kShortestLeave = milliseconds(3000);
 constexpr Duration kLeaveSpare =
     milliseconds(500);  // under the 0.7 s that are left beyond the longest deadline
@@ -110,12 +111,28 @@
     const Time time = now();
     if (manager_.left(time) || (end_by_ && time >= *end_by_)) break;
     auto events = inbox_.take_until(std::min(manager_.next_due(), end_by_.value_or(Time::max())));
-    for (auto& event : events) take(std::move(event));
+    const Time began = now();
+    const std::size_t count = events.size();
+    for (auto& event : events) {
+      take(std::move(event));
+      manager_.tick(now());  // a crowd of events, as when an engine dies, must not make last answers late
+    }
     manager_.tick(now());
+    note_if_slow(began, count);
   }
   close_sessions();
 }
 
+// Tells of a core that falls behind, as answers are late then; once a second at most.
+void Server::note_if_slow(Time began, std::size_t events) {
+  const Time ended = now();
+  if (ended - began < kSlowTurn || ended < next_slow_note_) return;
+  next_slow_note_ = ended + std::chrono::seconds(1);
+  log_.note("the core took " + std::to_string((ended - began) / milliseconds(1)) + " ms for " +
+            std::to_string(events) + " events, with " + std::to_string(manager_.open_requests()) +
+            " requests open");
+}
+
 void Server::take(DriverEvent event) {
   if (auto* accepted = std::get_if<Accepted>(&event)) {
     const manager::SessionId id{++last_session_};
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -62,6 +62,7 @@
  private:
   void run();
   void take(DriverEvent event);
+  void note_if_slow(Time began, std::size_t events);
   void close_sessions();
 
   void serve(manager::SessionId session, manager::CallId call, manager::Result result) override;
@@ -91,6 +92,7 @@
   std::map<manager::SessionId, std::unique_ptr<ClientSession>> sessions_;  // the core's thread only
   std::map<manager::LinkId, std::unique_ptr<EngineLink>> links_;           // the core's thread only
   std::uint64_t last_session_ = 0;
+  Time next_slow_note_{};
   std::optional<Time> end_by_;  // at the latest, once told to leave
   manager::Manager manager_;
   std::unique_ptr<FeedFollower> feed_;
