--- a/src/net/thread.h
+++ b/src/net/thread.h
@@ -10,7 +10,7 @@
 
 namespace yokestream::net {
 
-// Measured high-water marks are in docs/memory.md; sanitizers need several times as much.
+// Not measured yet; sanitizers need several times as much.
 #if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
 constexpr std::size_t kSmallStack = 1024 * 1024;
 constexpr std::size_t kLargeStack = 4 * 1024 * 1024;
