--- a/src/config/config.h
+++ b/src/config/config.h
@@ -1,6 +1,7 @@
 // The one place where the configuration is read, checked and given defaults.
 #pragma once
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -13,6 +14,13 @@
 struct Limits {
   std::size_t memory_mb = 192;
   std::size_t sockets = 1024;
+
+  // How the descriptors are shared out. Usual clients hold a third of them at most; each connection also
+  // costs two threads and its buffers, some 40 KB.
+  std::size_t links() const { return std::min(sockets / 3, memory_mb * 3); }
+  std::size_t sessions() const { return std::min(sockets - links() - kOtherDescriptors, memory_mb * 6); }
+
+  static constexpr std::size_t kOtherDescriptors = 16;  // the listener, the feed, files
 };
 
 struct Config {
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -241,8 +241,11 @@
     return std::vector<string>(list.begin(), list.end());
   };
   RealSettings real;
-  for (std::size_t i = 0; i < o.count("Classes.count"); ++i)
-    real.classes.emplace_back(o.word("Classes." + std::to_string(i) + ".Name"));
+  for (std::size_t i = 0; i < o.count("Classes.count"); ++i) {
+    const string at = "Classes." + std::to_string(i) + ".";
+    real.classes.emplace_back(o.word(at + "Name"));
+    real.deadlines.push_back(o.time(at + "Deadline"));
+  }
   for (std::size_t i = 0; i < o.count("Orgs.count"); ++i)
     real.tenants.emplace_back(o.word("Orgs." + std::to_string(i) + ".Name"));
   real.kinds = names("HostTypes");
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -30,8 +30,9 @@
 // What only a real workload manager needs of the same settings.
 struct RealSettings {
   std::vector<std::string> classes, tenants, kinds, zones, report_fields;  // names by position
-  lynxstand::Duration dial_time{};   // a connection not up by then counts as unreachable
-  lynxstand::Duration idle_close{};  // engines close what has been idle for this long; 0: never
+  lynxstand::Duration dial_time{};             // a connection not up by then counts as unreachable
+  lynxstand::Duration idle_close{};            // engines close what has been idle for this long; 0: never
+  std::vector<lynxstand::Duration> deadlines;  // by class: a client's whole wait
   std::size_t streams_per_connection = 1;
   std::size_t open_cap = 0;  // requests that may be open at once; 0: no cap
 };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,6 +3,7 @@
 #include <pthread.h>
 
 #include <CLI/CLI.hpp>
+#include <chrono>
 #include <csignal>
 #include <iostream>
 #include <mutex>
@@ -16,15 +17,27 @@
 
 namespace {
 
+// Standard error. Guards the core's part of it against peers that make trouble all the time: beyond some
+// lines a second, lines are only counted.
 class StandardError : public yokestream::manager::Log {
  public:
   void note(std::string_view line) override {
     const std::lock_guard lock(mutex_);
-    std::cerr << "yokestream: " << line << std::endl;
+    const auto now = std::chrono::steady_clock::now();
+    if (now - since_ >= std::chrono::seconds(1)) {
+      if (lines_ > kLinesASecond) write(std::to_string(lines_ - kLinesASecond) + " more lines were left out");
+      since_ = now, lines_ = 0;
+    }
+    if (++lines_ <= kLinesASecond) write(line);
   }
 
  private:
+  static constexpr int kLinesASecond = 20;
+  static void write(std::string_view line) { std::cerr << "yokestream: " << line << std::endl; }
+
   std::mutex mutex_;
+  std::chrono::steady_clock::time_point since_{};
+  int lines_ = 0;
 };
 
 // Hundreds of threads would each get an arena of their own, which count to the memory limit.
@@ -33,20 +46,32 @@
   mallopt(M_TRIM_THRESHOLD, 1024 * 1024);
 }
 
+// A bad new file changes nothing: what was good so far goes on.
+void reload(const std::string& path, yokestream::net::Server& server, StandardError& log) {
+  try {
+    server.reload(yokestream::config::read_config(path));
+    log.note("took in the new configuration");
+  } catch (const yokestream::config::ConfigError& problem) {
+    log.note(std::string("the new configuration is not taken: ") + problem.what());
+  }
+}
+
 int serve(const std::string& path) {
+  std::signal(SIGPIPE, SIG_IGN);
+  sigset_t told;
+  sigemptyset(&told);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&told, signal);
+  // Before the file is read, so that no word is missed, and before any thread: all inherit it.
+  pthread_sigmask(SIG_BLOCK, &told, nullptr);
   const auto config = yokestream::config::read_config(path);
   bound_memory();
-  std::signal(SIGPIPE, SIG_IGN);
-  sigset_t ends;
-  sigemptyset(&ends);
-  sigaddset(&ends, SIGTERM);
-  sigaddset(&ends, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &ends, nullptr);  // before any thread: all inherit it
   StandardError log;
   yokestream::net::Server server(config, log);
   log.note(config.name + " serves on " + to_string(server.endpoint()));
-  int signal = 0;
-  sigwait(&ends, &signal);
+  for (int signal = SIGHUP; signal == SIGHUP;) {
+    sigwait(&told, &signal);
+    if (signal == SIGHUP) reload(path, server, log);
+  }
   log.note("told to end");
   server.leave();
   server.wait();
--- a/src/manager/links.cpp
+++ b/src/manager/links.cpp
@@ -1,33 +1,46 @@
 #include "manager/links.h"
 
+#include <algorithm>
+
 namespace yokestream::manager {
+namespace {
 
-// Guards against three mix-ups. An engine gets the client's id, so a link that carries or has given up the
-// same id could bring the earlier attempt's answer for the new one's. A link that says nothing while
-// something runs there may lead nowhere: a new connection shows whether it does. And a full one is full.
-bool Links::fits(Time now, const Link& link, const std::string& request_id) const {
-  if (link.carries.size() >= bounds_.streams || link.stopped.size() >= bounds_.stopped) return false;
-  if (link.carries.count(request_id) || link.stopped.count(request_id)) return false;
-  return link.carries.empty() || bounds_.silence <= Duration{} || now - link.heard < bounds_.silence;
-}
+constexpr std::string_view kAlive = "alive";
+
+}  // namespace
 
+// Guards against two things. One spoilt answer, or one reset, ends all that runs on its connection: so an
+// attempt gets a connection of its own as long as there are some, and shares the least used one after that.
+// And an engine gets the client's id, so a link that has carried this request before could bring the earlier
+// attempt's answer, or a second copy of it, for the new one's.
 std::optional<LinkId> Links::pick(Time now, const std::string& uid, const EngineRecord& engine,
-                                  const std::string& request_id, Time dial_deadline) {
-  std::optional<LinkId> dialing;
+                                  const std::vector<LinkId>& but, Time dial_deadline) {
+  std::optional<LinkId> best;
+  const Link* least = nullptr;
   for (const auto& [id, link] : links_) {
     if (link.uid != uid || link.endpoint != engine.endpoint || link.boot_ms != engine.boot_ms) continue;
-    if (!fits(now, link, request_id)) continue;
-    if (link.up) return id;
-    if (!dialing) dialing = id;
+    if (link.carries.size() >= bounds_.streams || link.unheard > 0) continue;
+    if (std::find(but.begin(), but.end(), id) != but.end()) continue;
+    const auto rank = [](const Link& l) { return std::tuple(l.carries.size(), !l.up); };
+    if (!least || rank(link) < rank(*least)) least = &link, best = id;
   }
-  if (dialing) return dialing;
-  if (links_.size() >= bounds_.links) return std::nullopt;
+  if (least && least->carries.empty()) return best;
+  if (links_.size() >= bounds_.links && !close_one_idle()) return best;
   const LinkId id{++last_};
-  links_.emplace(id, Link{uid, engine.endpoint, engine.boot_ms, false, {}, {}, now});
+  links_.emplace(id, Link{uid, engine.endpoint, engine.boot_ms, false, {}, now, 0});
   port_.open(id, engine.endpoint, dial_deadline);
   return id;
 }
 
+bool Links::close_one_idle() {
+  const auto it = std::find_if(links_.begin(), links_.end(),
+                               [](const auto& l) { return l.second.up && l.second.carries.empty(); });
+  if (it == links_.end()) return false;
+  port_.close(it->first);
+  links_.erase(it);
+  return true;
+}
+
 Link* Links::find(LinkId id) {
   const auto it = links_.find(id);
   return it == links_.end() ? nullptr : &it->second;
@@ -39,28 +52,35 @@
   link.carries.emplace(request_id, query);
 }
 
-void Links::release(Time now, LinkId id, const std::string& request_id, bool late_answer) {
+void Links::release(Time now, LinkId id, const std::string& request_id) {
   Link* link = find(id);
   if (!link) return;
   link->carries.erase(request_id);
-  if (late_answer) link->stopped.insert(request_id);
   if (link->carries.empty()) link->heard = now;
 }
 
-void Links::sweep(Time now, const Directory& directory) {
+// Guards against a connection that stays open and is of no further use: an answer that stopped short and was
+// taken for the next ones' bytes, a machine cut off. Notes come seconds apart, so it is asked. Sweeps are
+// counted, not time: a core that stood still has not heard what came meanwhile.
+std::vector<LinkId> Links::sweep(Time now, const Directory& directory) {
+  std::vector<LinkId> dead;
   for (auto it = links_.begin(); it != links_.end();) {
-    const Link& link = it->second;
+    Link& link = it->second;
     const EngineRecord* engine = directory.usable(link.uid);
     const bool current = engine && engine->endpoint == link.endpoint && engine->boot_ms == link.boot_ms;
-    const bool stale = !current || (bounds_.idle > Duration{} && now - link.heard >= bounds_.idle) ||
-                       link.stopped.size() >= bounds_.stopped;
+    const bool stale = !current || (bounds_.idle > Duration{} && now - link.heard >= bounds_.idle);
     if (link.up && link.carries.empty() && stale) {
       port_.close(it->first);
       it = links_.erase(it);
-    } else {
-      ++it;
+      continue;
+    }
+    if (link.up && !link.carries.empty() && now - link.heard >= bounds_.ask_after) {
+      if (link.unheard == 0) port_.hello(it->first, kAlive);
+      if (++link.unheard > bounds_.sweeps) dead.push_back(it->first);
     }
+    ++it;
   }
+  return dead;
 }
 
 }  // namespace yokestream::manager
--- a/src/manager/links.h
+++ b/src/manager/links.h
@@ -3,8 +3,8 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
+#include <vector>
 
 #include "manager/directory.h"
 #include "manager/ports.h"
@@ -17,34 +17,35 @@
   std::int64_t boot_ms = 0;
   bool up = false;
   std::map<std::string, lynxstand::QueryId> carries;  // by the request's id
-  std::set<std::string> stopped;                      // ids of which a late answer may still come
   Time heard{};                                       // its last byte, or when it last began to carry
+  int unheard = 0;                                    // sweeps since it was asked whether it lives
 };
 
 class Links {
  public:
   struct Bounds {
     std::size_t streams = 1;
-    std::size_t links = 300;     // over all engines
-    std::size_t stopped = 1000;  // ids remembered on one link
-    Duration idle{};             // closed after; 0: never
-    Duration silence{};          // with something on it: takes nothing new; 0: never
+    std::size_t links = 300;  // over all engines
+    Duration idle{};          // closed after; 0: never
+    Duration ask_after{};     // with something on it, and nothing heard: it is asked whether it lives
+    int sweeps = 4;           // without an answer to that: it is dead
   };
   Links(Bounds bounds, EnginePort& port) : bounds_(bounds), port_(port) {}
 
-  // A link to this engine as it is now that may carry this request, opened if need be. nullopt: no more can
-  // be opened.
+  // A link to this engine as it is now, opened if need be; none of `but`, which this request has used
+  // before. nullopt: no more can be opened.
   std::optional<LinkId> pick(Time now, const std::string& uid, const EngineRecord& engine,
-                             const std::string& request_id, Time dial_deadline);
+                             const std::vector<LinkId>& but, Time dial_deadline);
   Link* find(LinkId id);
   void carry(Time now, LinkId id, const std::string& request_id, lynxstand::QueryId query);
-  void release(Time now, LinkId id, const std::string& request_id, bool late_answer);
+  void release(Time now, LinkId id, const std::string& request_id);
   void drop(LinkId id) { links_.erase(id); }
-  // Closes what has been idle for too long, and idle links to what an engine no longer is.
-  void sweep(Time now, const Directory& directory);
+  // Closes what has been idle for too long, and idle links to what an engine no longer is. Returns those that
+  // carry something and are dead.
+  std::vector<LinkId> sweep(Time now, const Directory& directory);
 
  private:
-  bool fits(Time now, const Link& link, const std::string& request_id) const;
+  bool close_one_idle();
 
   Bounds bounds_;
   EnginePort& port_;
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -19,24 +19,42 @@
 // or by this part of the time left where that is less.
 constexpr Duration kSpare = milliseconds(60);
 constexpr int kSpareParts = 16;
-constexpr Duration kSweepEvery = milliseconds(500);
+constexpr Duration kSweepEvery = milliseconds(250);
 // Guards against two attempts at once: a stop and the next send leave on two connections and may overtake
 // each other, so the next send waits until the engine has confirmed that it read the stop. Where
 // nothing at all comes meanwhile, the link is closed, which gives up all that is open on it.
 constexpr Duration kStopConfirmed = milliseconds(1000);
-constexpr Duration kSilenceOver = milliseconds(1000);  // beyond the time between two notes
-constexpr Duration kBusyWait = milliseconds(500);      // advice to a client when this manager itself is full
-// After the word to leave clients still find this manager for a while: it serves what comes until then.
-constexpr Duration kLeaveAccepts = milliseconds(800);
+constexpr Duration kAskAfter = milliseconds(500);  // a link with something on it that is silent
+constexpr Duration kBusyWait = milliseconds(500);  // advice to a client when this manager itself is full
+// After the word to leave clients still find this manager for a while, and it serves what comes; what comes
+// later finds no time to be served. It may be killed 3.7 s on, so by then everybody has an answer.
+constexpr Duration kLeaveAccepts = milliseconds(700);
+constexpr Duration kLeaveEnds = milliseconds(3300);
 constexpr std::uint32_t kMostPages = 64;  // of one result
-constexpr std::size_t kMostOpenOnSession = 64;
+constexpr int kColumns = 3;
+// A client must hear something within 3 s, though it asks for nothing. Usual ones close after 4 s without a
+// request; who then keeps the connection for good holds it for no reason.
+constexpr Duration kFirstWithin = milliseconds(2200);
+constexpr Duration kSessionIdle = milliseconds(6000);
+constexpr std::size_t kMostOpenOnSession = 32;
+constexpr Duration kSuspicion = milliseconds(1000);  // of a client whose request no engine could use
 
 Links::Bounds link_bounds(const config::Config& config) {
   Links::Bounds bounds;
   bounds.streams = config.real.streams_per_connection;
-  bounds.links = config.limits.sockets / 3;
+  bounds.links = config.limits.links();
   bounds.idle = config.real.idle_close / 2;  // well before the engine closes it under a request
-  if (config.settings.note_every > Duration{}) bounds.silence = config.settings.note_every + kSilenceOver;
+  bounds.ask_after = kAskAfter;
+  return bounds;
+}
+
+Sessions::Bounds session_bounds(const config::Config& config) {
+  Sessions::Bounds bounds;
+  bounds.sessions = config.limits.sessions();
+  bounds.open = kMostOpenOnSession;
+  bounds.first_within = kFirstWithin;
+  bounds.idle = kSessionIdle;
+  bounds.suspicion = kSuspicion;
   return bounds;
 }
 
@@ -44,6 +62,20 @@
 
 std::string hello_tag(SendTag tag) { return "stop-" + std::to_string(tag); }
 
+// Whole rows of three columns, each with a line feed after it; only a result of one page may have none.
+bool good_page(const EngineAnswer& answer, bool may_be_empty) {
+  const std::string& rows = answer.body;
+  if (rows.empty()) return may_be_empty;
+  if (rows.back() != '\n') return false;
+  int tabs = 0;
+  for (const char c : rows) {
+    if (c == '\t') ++tabs;
+    if (c == '\n' && std::exchange(tabs, 0) != kColumns - 1) return false;
+    if (c != '\t' && c != '\n' && (static_cast<unsigned char>(c) < 0x20 || c == 0x7f)) return false;
+  }
+  return true;
+}
+
 Outcome outcome_of(AnswerWord word) {
   if (word == AnswerWord::overload) return Outcome::shed;
   if (word == AnswerWord::nobody) return Outcome::never_sent;
@@ -61,6 +93,7 @@
       log_(log),
       directory_(config.real, std::move(from_unix)),
       links_(link_bounds(config), engines),
+      sessions_(session_bounds(config)),
       controller_(config.settings, config.seed, now),
       now_(now) {
   bool first = true;
@@ -109,25 +142,33 @@
   return &requests_.at(it->second);
 }
 
+void Manager::on(const SessionBegan& began) {
+  if (const auto victim = sessions_.begin(now_, began.session)) close_idle(*victim);
+}
+
+void Manager::close_idle(SessionId session) {
+  if (!clients_.close_idle(session)) sessions_.keep(session);
+}
+
 void Manager::on(Arrived arrived) {
   const CallKey key{arrived.session, arrived.call};
   if (calls_.count(key)) {
-    log_.note("a client used the id of an open request again; its connection is closed");
+    log_.note("a client used the number of an open request again; its connection is closed");
     clients_.close(arrived.session);
     return;
   }
-  const auto first = calls_.lower_bound({arrived.session, 0});
-  const auto last = calls_.upper_bound({arrived.session, ~CallId{0}});
-  if (now_ >= accept_until_) return clients_.refuse(arrived.session, arrived.call, kBusyWait);
+  // Guards the engines, and what the module believes of them, against a client whose requests they can't use.
+  if (sessions_.suspect(now_, arrived.session)) return fail(arrived.session, arrived.call, "Unusable");
+  // Guards against an answer to the wrong one: engines know requests by the clients' ids alone.
+  if (ids_.count(arrived.request_id)) return fail(arrived.session, arrived.call, "bad field req: in use");
   const bool full = config_.real.open_cap > 0 && calls_.size() >= config_.real.open_cap;
   Reservation held;
-  if (full || static_cast<std::size_t>(std::distance(first, last)) >= kMostOpenOnSession ||
-      !budget_.take(held, arrived.statement.size())) {
-    clients_.refuse(arrived.session, arrived.call, kBusyWait);
-    return;
-  }
-  if (arrived.deadline <= now_) return clients_.fail(arrived.session, arrived.call, "Late");
+  if (now_ >= accept_until_ || full || !sessions_.may_open(arrived.session) ||
+      !budget_.take(held, arrived.statement.size()))
+    return refuse(arrived.session, arrived.call, kBusyWait);
+  if (arrived.deadline <= now_) return fail(arrived.session, arrived.call, "Late");
   arrived.deadline -= std::min(kSpare, (arrived.deadline - now_) / kSpareParts);
+  arrived.deadline = std::min(arrived.deadline, end_by_);
   const QueryId query{++last_query_};
   lynxstand::QueryArrived q;
   q.query = query;
@@ -138,19 +179,36 @@
   q.work = arrived.work;
   q.time_left = arrived.deadline - now_;
   q.repeat = arrived.repeat;
-  at(arrived.deadline - kAnswerBefore, Deadline{query});
-  at(arrived.deadline + kGuardDelay, Guard{query});
-  calls_.emplace(key, query);
   Request request;
+  request.deadline = at(arrived.deadline - kAnswerBefore, Deadline{query});
+  request.guard = at(arrived.deadline + kGuardDelay, Guard{query});
+  calls_.emplace(key, query);
+  ids_.insert(arrived.request_id);
+  sessions_.opened(now_, arrived.session);
   request.told = std::move(arrived);
   request.held = std::move(held);
   requests_.emplace(query, std::move(request));
   tell(q);
 }
 
-void Manager::on(const BadRequest& bad) { clients_.fail(bad.session, bad.call, bad.problem); }
+void Manager::refuse(SessionId session, CallId call, Duration come_back_after) {
+  const bool advise = config_.settings.may_advise_wait;
+  clients_.refuse(session, call,
+                  advise ? std::min(come_back_after, config_.settings.most_wait_advice) : Duration{});
+  sessions_.answered(now_, session);
+}
+
+void Manager::fail(SessionId session, CallId call, std::string_view why) {
+  clients_.fail(session, call, why);
+  sessions_.answered(now_, session);
+}
+
+void Manager::on(const BadRequest& bad) { fail(bad.session, bad.call, bad.problem); }
 
-void Manager::on(const ProbeAsked& probe) { clients_.answer_probe(probe.session, probe.call, !leaving_); }
+void Manager::on(const ProbeAsked& probe) {
+  clients_.answer_probe(probe.session, probe.call, accept_until_ == Time::max());
+  sessions_.answered(now_, probe.session);
+}
 
 void Manager::on(const GaveUp& gave_up) {
   QueryId query{};
@@ -163,11 +221,14 @@
        it != calls_.end() && it->first.first == ended.session; ++it)
     open.push_back(it->second);
   for (const QueryId query : open) client_left(query);
+  sessions_.end(ended.session);
 }
 
 void Manager::on(const Leave&) {
-  leaving_ = true;
+  if (accept_until_ != Time::max()) return;
   accept_until_ = now_ + kLeaveAccepts;
+  end_by_ = now_ + kLeaveEnds;
+  at(end_by_, EndAll{});
 }
 
 // The module withdraws what is out for it; nothing is owed any more.
@@ -181,10 +242,20 @@
 void Manager::close_call(Request& request) {
   request.answered = true;
   calls_.erase({request.told.session, request.told.call});
+  sessions_.closed(now_, request.told.session);
+  drop(request.guard);
+}
+
+void Manager::drop(Timers::iterator& timer) {
+  if (timer != timers_.end()) timers_.erase(timer);
+  timer = timers_.end();
 }
 
 void Manager::forget_if_done(Requests::iterator it) {
-  if (it->second.answered && !it->second.attempt) requests_.erase(it);
+  if (!it->second.answered || it->second.attempt) return;
+  ids_.erase(it->second.told.request_id);
+  drop(it->second.deadline);
+  requests_.erase(it);
 }
 
 // ---- engines
@@ -208,8 +279,7 @@
     end_attempt(query, request,
                 !was_up     ? Outcome::unreachable
                 : unwritten ? Outcome::never_sent
-                            : Outcome::reset,
-                false);
+                            : Outcome::reset);
   }
   links_.drop(ended.link);
 }
@@ -219,7 +289,7 @@
   for (const auto& [id, query] : link.carries) {
     Request& request = requests_.at(query);
     if (hello_tag(request.attempt->tag) != tag) continue;
-    return end_attempt(query, request, Outcome::cancelled, true);
+    return end_attempt(query, request, Outcome::cancelled);
   }
 }
 
@@ -227,6 +297,7 @@
   Link* link = links_.find(answered.link);
   if (!link) return;
   link->heard = now_;
+  link->unheard = 0;
   const EngineAnswer& answer = answered.answer;
   if (answer.word == AnswerWord::green) return stop_confirmed(*link, answer.id);
   const auto carried = link->carries.find(answer.id);
@@ -245,14 +316,33 @@
     case AnswerWord::crashed:
       // Once it was served, what follows concerns its pages: it ran, and its result is lost.
       request.attempt->end.report = answer.report;
-      return end_attempt(query, request,
-                         request.attempt->phase == Phase::fetching ? Outcome::error : outcome_of(answer.word),
-                         false);
-    default:
+      if (answer.word == AnswerWord::crashed && request.attempt->phase == Phase::out && !request.answered &&
+          !sessions_.proven(request.told.session))
+        return unusable(query, request);
+      return end_attempt(
+          query, request,
+          request.attempt->phase == Phase::fetching ? Outcome::error : outcome_of(answer.word));
+    case AnswerWord::green:
       return;
   }
 }
 
+// Guards the engines' good name and the ration of further attempts: a client that no engine has served yet
+// asks for what none can use. It hears so at once, and the module takes the attempt for one called back.
+void Manager::unusable(QueryId query, Request& request) {
+  sessions_.blame(now_, request.told.session);
+  fail(request.told.session, request.told.call, "Unusable");
+  close_call(request);
+  end_attempt(query, request, Outcome::cancelled);
+}
+
+// Guards clients against rows that no engine made. Whoever spoils one answer is not believed in the next: the
+// connection goes, and all that ran there may have run.
+void Manager::spoilt(LinkId link) {
+  engines_.close(link);
+  on(LinkEnded{link, "an answer was spoilt"});
+}
+
 void Manager::answered_note(QueryId query, const Attempt& attempt, const EngineAnswer& answer) {
   if (answer.remark == Remark::none) return;
   lynxstand::AttemptNote note;
@@ -271,6 +361,7 @@
   Attempt& attempt = *request.attempt;
   if (attempt.phase == Phase::fetching) return;
   if (attempt.phase == Phase::stopping && answer.pages > 1) return;  // its pages are gone with the stop
+  if (answer.pages == 0 || !good_page(answer, answer.pages == 1)) return spoilt(attempt.link);
   if (answer.pages > kMostPages || !budget_.take(attempt.held, answer.body.size())) {
     log_.note("a result is too large, or results take too much memory");
     return give_up_attempt(query, request, Outcome::error);
@@ -286,6 +377,7 @@
 void Manager::answered_rows(QueryId query, Request& request, EngineAnswer answer) {
   Attempt& attempt = *request.attempt;
   if (attempt.phase != Phase::fetching || answer.page == 0 || answer.page >= attempt.end.pages) return;
+  if (!good_page(answer, false)) return spoilt(attempt.link);
   if (!budget_.take(attempt.held, answer.body.size())) {
     log_.note("results take too much memory");
     return give_up_attempt(query, request, Outcome::error);
@@ -302,9 +394,10 @@
   if (!request.answered) {
     clients_.serve(request.told.session, request.told.call,
                    Result{std::move(attempt.end.body), std::move(attempt.held)});
+    sessions_.served(now_, request.told.session);
     close_call(request);
   }
-  end_attempt(query, request, Outcome::served, false);
+  end_attempt(query, request, Outcome::served);
 }
 
 // Ends an attempt from this side, now: what still comes of it is dropped.
@@ -315,13 +408,13 @@
     engines_.end(attempt.link, request.told.request_id);  // it ran: only its pages are left to give up
   else if (!unwritten && attempt.phase != Phase::stopping)
     engines_.stop(attempt.link, request.told.request_id);
-  end_attempt(query, request, outcome, !unwritten);
+  end_attempt(query, request, outcome);
 }
 
-void Manager::end_attempt(QueryId query, Request& request, Outcome outcome, bool late_answer) {
+void Manager::end_attempt(QueryId query, Request& request, Outcome outcome) {
   const Attempt attempt = std::move(*request.attempt);
   request.attempt.reset();
-  links_.release(now_, attempt.link, request.told.request_id, late_answer);
+  links_.release(now_, attempt.link, request.told.request_id);
   AttemptEnded end;
   end.query = query;
   end.attempt = attempt.number;
@@ -349,9 +442,8 @@
   for (const QueryId query : out) {
     Request& request = requests_.at(query);
     if (engines_.withdraw(request.attempt->link, request.attempt->tag))
-      end_attempt(query, request, Outcome::never_sent, false);
+      end_attempt(query, request, Outcome::never_sent);
   }
-  links_.sweep(now_, directory_);
 }
 
 // ---- timers
@@ -361,16 +453,17 @@
 // The wait for an attempt ends with the client's; the module then words the final answer.
 void Manager::due(const Deadline& deadline) {
   const auto it = requests_.find(deadline.query);
-  if (it == requests_.end() || !it->second.attempt) return;
+  it->second.deadline = timers_.end();
+  if (!it->second.attempt) return;
   give_up_attempt(deadline.query, it->second, Outcome::timed_out);
 }
 
 // Guards the rule that every request is answered: whatever went wrong before, this is the last moment.
 void Manager::due(const Guard& guard) {
-  const auto it = requests_.find(guard.query);
-  if (it == requests_.end() || it->second.answered) return;
   log_.note("a request found no answer by its deadline");
-  clients_.fail(it->second.told.session, it->second.told.call, "Late");
+  Request& request = requests_.at(guard.query);
+  request.guard = timers_.end();
+  fail(request.told.session, request.told.call, "Late");
   client_left(guard.query);
 }
 
@@ -381,17 +474,38 @@
   if (timer.outcome == Outcome::timed_out)
     return give_up_attempt(timer.query, it->second, Outcome::timed_out);
   const LinkId link = attempt.link;
-  if (links_.find(link)->heard > timer.since)  // it is only slow: closing it would cost all that runs there
-    return at(now_ + kStopConfirmed, AttemptTimer{timer.query, timer.tag, timer.outcome, now_});
+  if (links_.find(link)->heard > timer.since) {  // only slow: closing it would cost all that runs there
+    at(now_ + kStopConfirmed, AttemptTimer{timer.query, timer.tag, timer.outcome, now_});
+    return;
+  }
   engines_.close(link);
   on(LinkEnded{link, "a stop was not confirmed"});
 }
 
 void Manager::due(const Sweep&) {
-  links_.sweep(now_, directory_);
+  for (const LinkId link : links_.sweep(now_, directory_)) {
+    engines_.close(link);
+    on(LinkEnded{link, "it does not answer"});
+  }
+  for (const SessionId session : sessions_.overdue(now_)) close_idle(session);
   at(now_ + kSweepEvery, Sweep{});
 }
 
+// Guards the requests that a planned restart would cut off: their clients hear at once that they may ask
+// elsewhere, or that it failed.
+void Manager::due(const EndAll&) {
+  while (!calls_.empty()) {
+    const QueryId query = calls_.begin()->second;
+    const Request& request = requests_.at(query);
+    const auto& cls = config_.settings.classes[static_cast<std::size_t>(request.told.cls)];
+    if (request.attempts == 0 || cls.repeatable == lynxstand::Repeatable::always)
+      refuse(request.told.session, request.told.call, Duration{});
+    else
+      fail(request.told.session, request.told.call, "Leaving");
+    client_left(query);
+  }
+}
+
 // ---- actions
 
 void Manager::act(const lynxstand::Send& send) {
@@ -412,8 +526,9 @@
   const EngineRecord* engine = directory_.usable(send.engine.name);
   if (!engine) return not_sent(Outcome::unreachable);
   const std::string& id = request.told.request_id;
-  const auto link = links_.pick(now_, send.engine.name, *engine, id, now_ + config_.real.dial_time);
+  const auto link = links_.pick(now_, send.engine.name, *engine, request.used, now_ + config_.real.dial_time);
   if (!link) return not_sent(Outcome::unreachable);
+  request.used.push_back(*link);
   links_.carry(now_, *link, id, send.query);
   Attempt attempt;
   attempt.number = number;
@@ -447,7 +562,7 @@
     return;
   }
   if (engines_.withdraw(attempt.link, attempt.tag))
-    return end_attempt(cancel.query, request, Outcome::never_sent, false);
+    return end_attempt(cancel.query, request, Outcome::never_sent);
   if (request.answered) return give_up_attempt(cancel.query, request, Outcome::cancelled);
   attempt.phase = Phase::stopping;
   engines_.stop(attempt.link, request.told.request_id);
@@ -458,7 +573,7 @@
 void Manager::act(const lynxstand::Refuse& refuse) {
   const auto it = requests_.find(refuse.query);
   if (it == requests_.end() || it->second.answered) return;
-  clients_.refuse(it->second.told.session, it->second.told.call, refuse.come_back_after);
+  this->refuse(it->second.told.session, it->second.told.call, refuse.come_back_after);
   close_call(it->second);
   forget_if_done(it);
 }
@@ -466,7 +581,7 @@
 void Manager::act(const lynxstand::Fail& fail) {
   const auto it = requests_.find(fail.query);
   if (it == requests_.end() || it->second.answered) return;
-  clients_.fail(it->second.told.session, it->second.told.call, "Failed");
+  this->fail(it->second.told.session, it->second.told.call, "Failed");
   close_call(it->second);
   forget_if_done(it);
 }
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "manager/directory.h"
 #include "manager/links.h"
 #include "manager/ports.h"
+#include "manager/sessions.h"
 
 namespace yokestream::manager {
 
@@ -30,6 +32,26 @@
   bool left(Time now) const { return now >= accept_until_ && calls_.empty(); }
 
  private:
+  struct Wake {
+    std::uint64_t token = 0;
+  };
+  struct Deadline {
+    lynxstand::QueryId query{};
+  };
+  struct Guard {
+    lynxstand::QueryId query{};
+  };
+  struct AttemptTimer {  // time-out, or the end of what a stop may take
+    lynxstand::QueryId query{};
+    SendTag tag = 0;
+    lynxstand::Outcome outcome{};
+    Time since{};
+  };
+  struct Sweep {};
+  struct EndAll {};  // told to leave: whatever is open gets its answer now
+  using Timer = std::variant<Wake, Deadline, Guard, AttemptTimer, Sweep, EndAll>;
+  using Timers = std::multimap<Time, Timer>;
+
   enum class Phase { out, stopping, fetching };
   struct Attempt {
     lynxstand::AttemptNo number{};
@@ -45,34 +67,19 @@
   };
   struct Request {
     Arrived told;
+    std::vector<LinkId> used;  // by its attempts so far
     std::uint32_t priority = 1;
     std::uint32_t attempts = 0;
     bool answered = false;
     std::optional<Attempt> attempt;
     Reservation held;
+    Timers::iterator deadline, guard;
   };
   using Requests = std::map<lynxstand::QueryId, Request>;
   using CallKey = std::pair<SessionId, CallId>;
 
-  struct Wake {
-    std::uint64_t token = 0;
-  };
-  struct Deadline {
-    lynxstand::QueryId query{};
-  };
-  struct Guard {
-    lynxstand::QueryId query{};
-  };
-  struct AttemptTimer {  // time-out, or the end of what a stop may take
-    lynxstand::QueryId query{};
-    SendTag tag = 0;
-    lynxstand::Outcome outcome{};
-    Time since{};
-  };
-  struct Sweep {};
-  using Timer = std::variant<Wake, Deadline, Guard, AttemptTimer, Sweep>;
-
   // events
+  void on(const SessionBegan& began);
   void on(Arrived arrived);
   void on(const BadRequest& bad);
   void on(const GaveUp& gave_up);
@@ -90,6 +97,7 @@
   void due(const Guard& guard);
   void due(const AttemptTimer& timer);
   void due(const Sweep&);
+  void due(const EndAll&);
 
   // actions of the controller
   void act(const lynxstand::Send& send);
@@ -106,17 +114,23 @@
   void step(Time now);
   void tell(lynxstand::Event event) { told_.push_back(std::move(event)); }
   void run_controller();
-  void at(Time time, Timer timer) { timers_.emplace(time, std::move(timer)); }
+  Timers::iterator at(Time time, Timer timer) { return timers_.emplace(time, std::move(timer)); }
+  void drop(Timers::iterator& timer);
+  void refuse(SessionId session, CallId call, Duration come_back_after);
+  void fail(SessionId session, CallId call, std::string_view why);
   Request* open_call(SessionId session, CallId call, lynxstand::QueryId* query);
   void client_left(lynxstand::QueryId query);
   void close_call(Request& request);
   void stop_confirmed(const Link& link, const std::string& tag);
+  void spoilt(LinkId link);
+  void unusable(lynxstand::QueryId query, Request& request);
+  void close_idle(SessionId session);
   void answered_note(lynxstand::QueryId query, const Attempt& attempt, const EngineAnswer& answer);
   void answered_served(lynxstand::QueryId query, Request& request, EngineAnswer answer);
   void answered_rows(lynxstand::QueryId query, Request& request, EngineAnswer answer);
   void serve(lynxstand::QueryId query, Request& request);
   void give_up_attempt(lynxstand::QueryId query, Request& request, lynxstand::Outcome outcome);
-  void end_attempt(lynxstand::QueryId query, Request& request, lynxstand::Outcome outcome, bool late_answer);
+  void end_attempt(lynxstand::QueryId query, Request& request, lynxstand::Outcome outcome);
   void forget_if_done(Requests::iterator it);
 
   const config::Config& config_;
@@ -126,17 +140,19 @@
   Log& log_;
   Directory directory_;
   Links links_;
+  Sessions sessions_;
   lynxstand::AdmissionController controller_;
   Time now_;
   Requests requests_;
   std::map<CallKey, lynxstand::QueryId> calls_;  // the requests that are owed an answer
-  std::multimap<Time, Timer> timers_;
+  std::set<std::string> ids_;                    // the clients' ids of `requests_`
+  Timers timers_;
   std::deque<lynxstand::Event> told_;  // what the controller is yet to hear
   std::vector<lynxstand::Action> actions_;
   std::uint64_t last_query_ = 0;
   SendTag last_tag_ = 0;
-  bool leaving_ = false;
-  Time accept_until_ = Time::max();
+  Time accept_until_ = Time::max();  // told to leave: when it ends
+  Time end_by_ = Time::max();
 };
 
 }  // namespace yokestream::manager
--- a/src/manager/ports.h
+++ b/src/manager/ports.h
@@ -51,6 +51,9 @@
   SessionId session{};
   CallId call = 0;
 };
+struct SessionBegan {  // before anything else of it
+  SessionId session{};
+};
 struct SessionEnded {
   SessionId session{};
 };
@@ -69,8 +72,8 @@
   config::MembersEvent event;
 };
 struct Leave {};  // a planned restart has begun
-using Event = std::variant<Arrived, BadRequest, GaveUp, ProbeAsked, SessionEnded, LinkUp, LinkEnded, Answered,
-                           ListChanged, Leave>;
+using Event = std::variant<SessionBegan, Arrived, BadRequest, GaveUp, ProbeAsked, SessionEnded, LinkUp,
+                           LinkEnded, Answered, ListChanged, Leave>;
 
 // ---------------------------------------------------------------- actions
 
@@ -88,6 +91,8 @@
   virtual void fail(SessionId session, CallId call, std::string_view why) = 0;
   virtual void answer_probe(SessionId session, CallId call, bool able) = 0;
   virtual void close(SessionId session) = 0;  // a SessionEnded follows
+  // The same, unless something has come from it that is not handed in yet; then false.
+  virtual bool close_idle(SessionId session) = 0;
 };
 
 class EnginePort {
--- /dev/null
+++ b/src/manager/sessions.h
@@ -0,0 +1,55 @@
+// The client connections: what each has open, and which of them are to be closed. Guards against clients that
+// connect and ask for nothing, or ask once and keep the connection for good: each holds a descriptor and two
+// threads, and a usual client must find room.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "manager/ports.h"
+
+namespace yokestream::manager {
+
+class Sessions {
+ public:
+  struct Bounds {
+    std::size_t sessions = 256;     // connections; from three quarters of them on, idle ones have to go
+    std::size_t open = 32;          // requests of one connection
+    std::size_t open_at_first = 8;  // the same until one of them was served
+    Duration first_within{};        // by then it has asked for something, or is closed
+    Duration idle{};                // a connection with nothing open is closed after
+    Duration suspicion{};
+  };
+  explicit Sessions(Bounds bounds) : bounds_(bounds) {}
+
+  // Returns the connection that has to make room for the new one, if one has to.
+  std::optional<SessionId> begin(Time now, SessionId id);
+  bool may_open(SessionId id) const;
+  void opened(Time now, SessionId id);
+  void closed(Time now, SessionId id);    // a request of it is no longer open
+  void answered(Time now, SessionId id);  // something was sent to it
+  void served(Time now, SessionId id);
+  bool proven(SessionId id) const;  // was it ever served?
+  // An engine could not use a request of it. Never served otherwise, it is suspect for a while.
+  void blame(Time now, SessionId id);
+  bool suspect(Time now, SessionId id) const;
+  void keep(SessionId id);  // what was named could not be closed: something has come from it
+  void end(SessionId id) { sessions_.erase(id); }
+  std::vector<SessionId> overdue(Time now);  // each is named once
+
+ private:
+  struct Session {
+    Time since{}, last{};
+    std::size_t open = 0;
+    bool answered = false, served = false, closing = false;
+    std::optional<Time> blamed;
+  };
+  Session* find(SessionId id);
+  const Session* find(SessionId id) const;
+
+  Bounds bounds_;
+  std::map<SessionId, Session> sessions_;
+};
+
+}  // namespace yokestream::manager
--- a/src/messages/engine.h
+++ b/src/messages/engine.h
@@ -19,13 +19,13 @@
   std::string statement;
 };
 
-enum class AnswerWord { served, overload, crashed, nobody, update, rows, green, other };
+enum class AnswerWord { served, overload, crashed, nobody, update, rows, green };
 enum class Remark { none, progress, spill_mb, blocked };
 
 struct EngineAnswer {
   std::string id;
-  AnswerWord word = AnswerWord::other;
-  std::uint32_t pages = 1;  // served: all pages of the result, this one counted in
+  AnswerWord word = AnswerWord::crashed;
+  std::uint32_t pages = 0;  // served: all pages of the result, this one counted in; 0: not told
   std::uint32_t page = 0;   // rows: which page
   Remark remark = Remark::none;
   double datum = 0;
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <system_error>
 
+#include "net/pace.h"
 #include "protocol/msgpack_rpc.h"
 #include "statement/table_group.h"
 
@@ -14,7 +15,15 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 4 * 1024;
-constexpr std::size_t kOutboxBytes = 8 * 1024 * 1024;  // all answers that may be open at once, and more
+constexpr std::size_t kOutboxBytes = 256 * 1024;  // results count little here: they lie in the budget
+constexpr std::size_t kMostWaiting = 16;          // messages of one client that the core has not taken yet
+constexpr Duration kMessageWithin = std::chrono::milliseconds(2200);  // from its first byte to its last
+// For a client that was never served; 32 requests may be open, and each may be given up.
+constexpr int kBurst = 64;
+constexpr Duration kBetween = std::chrono::milliseconds(20);
+constexpr double kMostWorkMs = 1e7;                        // hours
+constexpr double kMostMemoryMb = 1e7;                      // of the largest machines
+constexpr Duration kClockSlack = std::chrono::seconds(1);  // by which a client may wait longer than its class
 
 const std::string* field(const protocol::Call& call, const std::string& name) {
   const auto it = call.fields.find(name);
@@ -35,6 +44,13 @@
   return Id{static_cast<std::uint32_t>(it - names.begin())};
 }
 
+// Guards the connections to engines: what an engine can't read ends all that runs on its connection.
+bool is_statement(std::string_view text) {
+  return !text.empty() && std::none_of(text.begin(), text.end(), [](unsigned char c) {
+    return (c < 0x20 && c != '\t' && c != '\n' && c != '\r') || c == 0x7f;
+  });
+}
+
 bool is_request_id(const std::string& text) {
   return text.size() == 16 && text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
 }
@@ -55,7 +71,8 @@
   out.request_id = *id;
   const auto* timeout = field(call, "timeout");
   const auto left = timeout ? real(*timeout) : std::nullopt;
-  if (!left || *left <= 0 || *left > 1e9) return bad("bad field timeout");
+  const Duration most = names.deadlines[static_cast<std::size_t>(out.cls)] + kClockSlack;
+  if (!left || *left <= 0 || *left * 1e6 > static_cast<double>(most.count())) return bad("bad field timeout");
   out.deadline = arrived + Duration(static_cast<Duration::rep>(*left * 1e6));
   if (!names.tenants.empty()) {
     const auto* owner = field(call, "owner");
@@ -65,14 +82,15 @@
   }
   if (const auto* ms = field(call, "ms")) {
     const auto work = real(*ms);
-    if (!work || *work < 0 || *work > 1e9) return bad("bad field ms");
+    if (!work || *work < 0 || *work > kMostWorkMs) return bad("bad field ms");
     if (*work > 0) out.work = Duration(static_cast<Duration::rep>(*work * 1e6));
   }
   if (const auto* mb = field(call, "mb")) {
     const auto memory = real(*mb);
-    if (!memory || *memory < 0) return bad("bad field mb");
+    if (!memory || *memory < 0 || *memory > kMostMemoryMb) return bad("bad field mb");
     out.memory_mb = *memory;
   }
+  if (!is_statement(call.body)) return bad("the statement is no text");
   const auto* resent = field(call, "resent");
   out.repeat = resent && (*resent == "1" || *resent == "true");
   out.tables = lynxstand::TableGroupId{statement::table_group(call.body).value_or(0)};
@@ -93,9 +111,18 @@
   return manager::GaveUp{session, std::get<protocol::GiveUp>(message).id};
 }
 
-ClientSession::ClientSession(manager::SessionId id, Fd fd, const config::RealSettings& names, Inbox& inbox,
+ClientSession::ClientSession(manager::SessionId id, Fd fd, manager::Reservation slot,
+                             const config::RealSettings& names, manager::Budget& budget, Inbox& inbox,
                              manager::Log& log)
-    : id_(id), names_(names), inbox_(inbox), log_(log), socket_(std::move(fd)), outbox_(kOutboxBytes) {}
+    : id_(id),
+      slot_(std::move(slot)),
+      names_(names),
+      budget_(budget),
+      inbox_(inbox),
+      log_(log),
+      socket_(std::move(fd)),
+      turns_(kMostWaiting),
+      outbox_(kOutboxBytes) {}
 
 void ClientSession::start() try {
   reader_ = Thread(kSmallStack, [this] { read(); });
@@ -110,47 +137,82 @@
 
 void ClientSession::break_off() {
   outbox_.close();
+  turns_.close();
   socket_.break_off();
 }
 
+// Guards a request that came while the core was busy: it must not be closed upon as if nothing were open.
+bool ClientSession::break_off_idle() {
+  if (turns_.in_use() || socket_.unread()) return false;
+  break_off();
+  return true;
+}
+
 // Guards against a client that does not read: its answers pile up to the bound, then its connection goes.
-void ClientSession::add(std::string bytes, manager::Reservation held) {
+void ClientSession::add(std::string bytes, manager::Reservation held, std::size_t counted) {
+  if (!outbox_.add(Item{std::move(bytes), std::move(held)}, counted)) break_off();
+}
+
+void ClientSession::say(std::string bytes) {
   const std::size_t size = bytes.size();
-  if (!outbox_.add(Item{std::move(bytes), std::move(held)}, size)) break_off();
+  add(std::move(bytes), {}, size);
 }
 
 void ClientSession::serve(manager::CallId call, manager::Result result) {
-  std::string bytes = protocol::encode_result(call, result.rows, {});
-  add(std::move(bytes), std::move(result.held));
+  served_ = true;
+  add(protocol::encode_result(call, result.rows, {}), std::move(result.held), sizeof(Item));
 }
 
 void ClientSession::refuse(manager::CallId call, Duration come_back_after) {
   protocol::Fields fields;
   const auto ms = std::chrono::ceil<std::chrono::milliseconds>(come_back_after).count();
   if (ms > 0) fields.emplace("holdoff", std::to_string(ms));
-  add(protocol::encode_error(call, "Shed", fields));
+  say(protocol::encode_error(call, "Shed", fields));
 }
 
 void ClientSession::fail(manager::CallId call, std::string_view why) {
-  add(protocol::encode_error(call, "Fault", {{"reason", std::string(why)}}));
+  say(protocol::encode_error(call, "Fault", {{"reason", std::string(why)}}));
 }
 
 void ClientSession::answer_probe(manager::CallId call, bool able) {
-  add(protocol::encode_probe_answer(call, able));
+  say(protocol::encode_probe_answer(call, able));
 }
 
-void ClientSession::read() {
+// A client that is stuck inside a message holds its bytes and its descriptor: it has until an absolute
+// deadline to finish, and what all such clients hold together is bounded. Time with nothing open is bounded
+// by the core.
+void ClientSession::read_messages() {
   protocol::MsgpackReader reader;
+  manager::Reservation buffered;
+  Pace pace(kBurst, kBetween);
   std::array<char, kReadBytes> bytes;
-  try {
-    while (const std::size_t size = socket_.read(bytes.data(), bytes.size())) {
-      const Time arrived = now();
-      reader.feed({bytes.data(), size});
-      while (auto message = reader.next()) {
-        if (std::holds_alternative<protocol::OtherNotice>(*message)) continue;
-        inbox_.post(to_event(id_, std::move(*message), arrived, names_));
-      }
+  Time whole_by = Time::max();
+  while (const std::size_t size = socket_.read_until(bytes.data(), bytes.size(), whole_by)) {
+    const Time arrived = now();
+    reader.feed({bytes.data(), size});
+    while (auto message = reader.next()) {
+      whole_by = Time::max();
+      if (std::holds_alternative<protocol::OtherNotice>(*message))
+        throw protocol::ProtocolError("an unknown notification");
+      if (served_) pace.served();
+      const Time turn = pace.next(arrived);
+      if ((turn > arrived && !turns_.pause_until(turn)) || !turns_.take()) return;
+      inbox_.post(to_event(id_, std::move(*message), arrived, names_));
     }
+    if (reader.pending() == 0)
+      whole_by = Time::max();
+    else if (whole_by == Time::max())
+      whole_by = arrived + kMessageWithin;
+    manager::Reservation pending;
+    if (!budget_.take(pending, reader.pending())) throw protocol::ProtocolError("no memory for a message");
+    buffered = std::move(pending);
+  }
+  if (whole_by != Time::max() && now() >= whole_by) log_.note("a client is stuck inside a message");
+}
+
+void ClientSession::read() {
+  try {
+    read_messages();
   } catch (const std::exception& problem) {
     log_.note(std::string("a client connection is closed: ") + problem.what());
   }
@@ -160,7 +222,7 @@
 
 void ClientSession::write() {
   while (const auto item = outbox_.take()) {
-    if (!socket_.write(item->bytes)) break;
+    if (socket_.write(item->bytes) != Socket::Written::all) break;
   }
   socket_.break_off();  // the reader ends too
 }
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -14,8 +14,9 @@
 
 class ClientSession {
  public:
-  ClientSession(manager::SessionId id, Fd fd, const config::RealSettings& names, Inbox& inbox,
-                manager::Log& log);
+  // `slot` is its place among the connections that may be there; what it reads is taken from `budget`.
+  ClientSession(manager::SessionId id, Fd fd, manager::Reservation slot, const config::RealSettings& names,
+                manager::Budget& budget, Inbox& inbox, manager::Log& log);
   ~ClientSession();  // breaks off and joins
   void start();      // once the core has been told of it
 
@@ -23,7 +24,9 @@
   void refuse(manager::CallId call, Duration come_back_after);
   void fail(manager::CallId call, std::string_view why);
   void answer_probe(manager::CallId call, bool able);
+  void taken() { turns_.give_back(); }  // the core has taken in one of its messages
   void break_off();
+  bool break_off_idle();               // false: something has come that the core has not taken in yet
   void finish() { outbox_.finish(); }  // the connection ends once all answers are written
 
  private:
@@ -31,15 +34,21 @@
     std::string bytes;
     manager::Reservation held;
   };
-  void add(std::string bytes, manager::Reservation held = {});
+  void add(std::string bytes, manager::Reservation held, std::size_t counted);
+  void say(std::string bytes);
   void read();
+  void read_messages();
   void write();
 
   const manager::SessionId id_;
+  const manager::Reservation slot_;
   const config::RealSettings& names_;
+  manager::Budget& budget_;
   Inbox& inbox_;
   manager::Log& log_;
   Socket socket_;
+  Turns turns_;
+  std::atomic<bool> served_{false};
   Outbox<Item> outbox_;
   Thread reader_, writer_;  // last: they use the rest
 };
--- a/src/net/engine_link.cpp
+++ b/src/net/engine_link.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 8 * 1024;
-constexpr std::size_t kOutboxBytes = 8 * 1024 * 1024;
+constexpr std::size_t kOutboxBytes = 1024 * 1024;
+// An answer leaves an engine in one piece; one that stops short never comes whole.
+constexpr Duration kAnswerWithin = std::chrono::milliseconds(700);
 
 }  // namespace
 
@@ -56,11 +58,14 @@
   } catch (const std::exception& problem) {
     return ended(problem.what());
   }
-  while (const auto item = outbox_.take()) {
+  while (auto item = outbox_.take()) {
     const auto* request = std::get_if<EngineRequest>(&item->what);
-    const bool written = socket_.write(request ? protocol::encode_request(*request, now())
+    const auto written = socket_.write(request ? protocol::encode_request(*request, now())
                                                : std::get<std::string>(item->what));
-    if (!written) break;
+    // Guards what must not run twice: on a connection that was reset before, nothing has left, and the core
+    // may send it elsewhere.
+    if (written == Socket::Written::none) outbox_.put_back(std::move(*item));
+    if (written != Socket::Written::all) break;
   }
   socket_.break_off();
   ended("broken off");
@@ -71,11 +76,19 @@
   std::array<char, kReadBytes> bytes;
   std::string why = "closed or reset by the engine";
   try {
-    while (const std::size_t size = socket_.read(bytes.data(), bytes.size())) {
+    Time whole_by = Time::max();
+    while (const std::size_t size = socket_.read_until(bytes.data(), bytes.size(), whole_by)) {
       reader.feed({bytes.data(), size});
-      while (auto answer = reader.next())
+      while (auto answer = reader.next()) {
+        whole_by = Time::max();
         inbox_.post(manager::Event(manager::Answered{id_, std::move(*answer)}));
+      }
+      if (reader.pending() == 0)
+        whole_by = Time::max();
+      else if (whole_by == Time::max())
+        whole_by = now() + kAnswerWithin;
     }
+    if (now() >= whole_by) why = "an answer stopped short";
   } catch (const std::exception& problem) {
     why = problem.what();
   }
--- a/src/net/events.h
+++ b/src/net/events.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <variant>
 
 #include "manager/ports.h"
@@ -15,7 +16,10 @@
   manager::SessionId id{};
   std::shared_ptr<ClientSession> session;
 };
-using DriverEvent = std::variant<manager::Event, Accepted>;
+struct NewFeed {  // the configuration names another control feed, or none any more
+  std::optional<config::Endpoint> feed;
+};
+using DriverEvent = std::variant<manager::Event, Accepted, NewFeed>;
 using Inbox = Mailbox<DriverEvent>;
 
 }  // namespace yokestream::net
--- a/src/net/feed_follower.cpp
+++ b/src/net/feed_follower.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <charconv>
+#include <utility>
 
 #include "protocol/sse.h"
 
@@ -26,11 +27,17 @@
   thread_ = Thread(kLargeStack, [this] { follow(); });
 }
 
-FeedFollower::~FeedFollower() {
-  const std::lock_guard lock(mutex_);
-  over_ = true;
-  if (socket_) socket_->break_off();
-  ending_.notify_all();
+FeedFollower::~FeedFollower() { end(); }
+
+std::uint64_t FeedFollower::end() {
+  {
+    const std::lock_guard lock(mutex_);
+    over_ = true;
+    if (socket_) socket_->break_off();
+    ending_.notify_all();
+  }
+  thread_.join();
+  return last_event_;
 }
 
 bool FeedFollower::pause() {
@@ -57,10 +64,12 @@
 
 void FeedFollower::follow_once(Socket& socket) {
   std::string why;
-  if (!socket.connect(feed_, now() + kConnectWithin, &why)) return;
-  if (!socket.write(protocol::encode_subscription(to_string(feed_), kPath, last_event_))) return;
+  if (!socket.connect(feed_, now() + kConnectWithin, &why)) return log_.note("the control feed: " + why);
+  const std::string subscription = protocol::encode_subscription(to_string(feed_), kPath, last_event_);
+  if (socket.write(subscription) != Socket::Written::all) return;
   protocol::SseReader reader;
   std::array<char, kReadBytes> bytes;
+  bool first = true;
   while (const std::size_t size = socket.read_until(bytes.data(), bytes.size(), now() + kSilence)) {
     reader.feed({bytes.data(), size});
     while (const auto event = reader.next()) {
@@ -68,11 +77,16 @@
       std::uint64_t number = members.number;
       std::from_chars(event->id.data(), event->id.data() + event->id.size(), number);
       if (number <= last_event_) continue;  // told before
+      // Guards against an event that is missing: it is asked for again, once.
+      if (!std::exchange(first, false) && number > last_event_ + 1)
+        return log_.note("the control feed left out event " + std::to_string(last_event_ + 1));
       last_event_ = number;
       inbox_.post(manager::Event(manager::ListChanged{std::move(members)}));
     }
-    if (reader.ended()) return;
+    if (reader.ended()) break;
   }
+  log_.note("the control feed ended or fell silent; it is asked again for what follows " +
+            std::to_string(last_event_));
 }
 
 }  // namespace yokestream::net
--- a/src/net/feed_follower.h
+++ b/src/net/feed_follower.h
@@ -14,6 +14,7 @@
  public:
   FeedFollower(const config::Endpoint& feed, std::uint64_t last_event, Inbox& inbox, manager::Log& log);
   ~FeedFollower();
+  std::uint64_t end();  // breaks off and joins; the number of the last event it posted
 
  private:
   void follow();
--- /dev/null
+++ b/src/net/pace.h
@@ -0,0 +1,30 @@
+// How fast one client's messages are taken in. Knows no clock.
+#pragma once
+
+#include <algorithm>
+
+#include "lynxstand/admission.h"
+
+namespace yokestream::net {
+
+// Guards the core against a client that asks as fast as it is refused: beyond a burst its messages are read
+// at a steady pace. A client that is served is never slowed.
+class Pace {
+ public:
+  using Time = lynxstand::Time;
+  using Duration = lynxstand::Duration;
+  Pace(int burst, Duration between) : burst_(burst * between), between_(between) {}
+
+  // When the next message, of which the turn has come at `now`, may be taken in.
+  Time next(Time now) {
+    owed_until_ = std::max(owed_until_, now) + between_;
+    return std::max(now, owed_until_ - burst_);
+  }
+  void served() { owed_until_ = Time{}; }
+
+ private:
+  const Duration burst_, between_;
+  Time owed_until_{};
+};
+
+}  // namespace yokestream::net
--- a/src/net/queue.h
+++ b/src/net/queue.h
@@ -52,6 +52,45 @@
   bool closed_ = false;
 };
 
+// How many messages of one peer may wait in the mailbox. Guards all others against a peer that floods it:
+// that one waits for its own messages to be taken.
+class Turns {
+ public:
+  explicit Turns(std::size_t all) : all_(all), free_(all) {}
+  bool take() {  // waits; false: closed
+    std::unique_lock lock(mutex_);
+    news_.wait(lock, [&] { return free_ > 0 || closed_; });
+    if (closed_) return false;
+    --free_;
+    return true;
+  }
+  void give_back() {
+    const std::lock_guard lock(mutex_);
+    ++free_;
+    news_.notify_one();
+  }
+  bool in_use() {
+    const std::lock_guard lock(mutex_);
+    return free_ < all_;
+  }
+  bool pause_until(Time time) {  // false: closed
+    std::unique_lock lock(mutex_);
+    return !news_.wait_until(lock, to_steady(time), [&] { return closed_; });
+  }
+  void close() {
+    const std::lock_guard lock(mutex_);
+    closed_ = true;
+    news_.notify_all();
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable news_;
+  const std::size_t all_;
+  std::size_t free_;
+  bool closed_ = false;
+};
+
 // What waits for a connection's writer. Never makes the one who adds to it wait: over the bound it refuses.
 template <class Item>
 class Outbox {
@@ -76,6 +115,11 @@
     items_.pop_front();
     return item;
   }
+  // The writer puts back what it took, for withdraw() to find.
+  void put_back(Item item) {
+    const std::lock_guard lock(mutex_);
+    items_.emplace_front(std::move(item), 0);
+  }
   // Takes back an item that the writer has not taken.
   template <class Match>
   bool withdraw(Match match) {
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <type_traits>
 
 #include "protocol/resp.h"
 
@@ -16,17 +17,22 @@
 
 constexpr std::size_t kInboxEvents = 4096;
 constexpr std::size_t kBudgetShare = 4;                  // a quarter of the memory for statements and results
-constexpr Duration kDescriptorPause = milliseconds(20);  // when none is free
+constexpr Duration kDescriptorPause = milliseconds(10);  // when none is free
 constexpr Duration kSlowTurn = milliseconds(40);
-constexpr Duration kShortestLeave = milliseconds(3000);
-constexpr Duration kLeaveSpare =
-    milliseconds(500);  // under the 0.7 s that are left beyond the longest deadline
 constexpr Duration kLastWrites = milliseconds(150);  // for answers that are queued when all is over
 
-Duration longest_deadline(const lynxstand::Settings& settings) {
-  Duration longest = kShortestLeave;
-  for (const auto& c : settings.classes) longest = std::max(longest, c.deadline);
-  return longest;
+// Whose message it is, if a client's.
+std::optional<manager::SessionId> sender_of(const manager::Event& event) {
+  return std::visit(
+      [](const auto& e) -> std::optional<manager::SessionId> {
+        using E = std::decay_t<decltype(e)>;
+        if constexpr (std::is_same_v<E, manager::Arrived> || std::is_same_v<E, manager::BadRequest> ||
+                      std::is_same_v<E, manager::GaveUp> || std::is_same_v<E, manager::ProbeAsked>)
+          return e.session;
+        else
+          return std::nullopt;
+      },
+      event);
 }
 
 }  // namespace
@@ -47,9 +53,13 @@
   dead_.add(std::move(link), 0);
 }
 
-Listener::Listener(const config::Endpoint& endpoint, const config::RealSettings& names, Inbox& inbox,
-                   manager::Log& log)
-    : fd_(listen_on(endpoint)), names_(names), inbox_(inbox), log_(log) {
+Listener::Listener(const config::Config& config, manager::Budget& budget, Inbox& inbox, manager::Log& log)
+    : fd_(listen_on(config.listen)),
+      names_(config.real),
+      budget_(budget),
+      slots_(config.limits.sessions()),
+      inbox_(inbox),
+      log_(log) {
   thread_ = Thread(kSmallStack, [this] { accept_all(); });
 }
 
@@ -68,6 +78,13 @@
 void Listener::accept_all() {
   bool short_of = false;
   while (true) {
+    // Guards the descriptors that links to engines need: who is one too many waits to be accepted, and the
+    // core closes idle connections before it comes to that.
+    manager::Reservation slot;
+    if (!slots_.take(slot, 1)) {
+      if (!pause()) return;
+      continue;
+    }
     Fd fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC));
     if (fd) {
       const int on = 1;
@@ -75,7 +92,8 @@
       // Guards the time limits: a request counts from its last byte, so its reader starts here and does not
       // wait for a busy core. The core hears of the session first, and so of its requests later.
       const manager::SessionId id{++last_session_};
-      const auto session = std::make_shared<ClientSession>(id, std::move(fd), names_, inbox_, log_);
+      const auto session =
+          std::make_shared<ClientSession>(id, std::move(fd), std::move(slot), names_, budget_, inbox_, log_);
       inbox_.post(Accepted{id, session});
       session->start();
       short_of = false;
@@ -94,8 +112,9 @@
       budget_(config.limits.memory_mb * 1024 * 1024 / kBudgetShare),
       inbox_(kInboxEvents),
       manager_(config, now(), from_unix_ms, budget_, *this, *this, log) {
-  if (config.feed) feed_ = std::make_unique<FeedFollower>(*config.feed, config.known_number, inbox_, log);
-  listener_ = std::make_unique<Listener>(config.listen, config.real, inbox_, log);
+  last_event_ = config.known_number;
+  follow(config.feed);
+  listener_ = std::make_unique<Listener>(config, budget_, inbox_, log);
   core_ = Thread(kLargeStack, [this] { run(); });
 }
 
@@ -108,6 +127,17 @@
   links_.clear();
 }
 
+void Server::reload(const config::Config& config) { inbox_.post(NewFeed{config.feed}); }
+
+// The numbers carry on: the new feed is asked for what the old one has not told yet.
+void Server::follow(const std::optional<config::Endpoint>& feed) {
+  if (feed == followed_) return;
+  if (feed_) last_event_ = feed_->end();
+  feed_.reset();
+  followed_ = feed;
+  if (feed) feed_ = std::make_unique<FeedFollower>(*feed, last_event_, inbox_, log_);
+}
+
 void Server::leave() { inbox_.post(manager::Event(manager::Leave{})); }
 
 void Server::wait() { core_.join(); }
@@ -115,8 +145,8 @@
 void Server::run() {
   while (true) {
     const Time time = now();
-    if (manager_.left(time) || (end_by_ && time >= *end_by_)) break;
-    auto events = inbox_.take_until(std::min(manager_.next_due(), end_by_.value_or(Time::max())));
+    if (manager_.left(time)) break;
+    auto events = inbox_.take_until(manager_.next_due());
     const Time began = now();
     const std::size_t count = events.size();
     for (auto& event : events) {
@@ -142,9 +172,11 @@
 void Server::take(DriverEvent event) {
   if (auto* accepted = std::get_if<Accepted>(&event)) {
     sessions_.emplace(accepted->id, std::move(accepted->session));
-    return;
+    return manager_.handle(now(), manager::SessionBegan{accepted->id});
   }
+  if (const auto* feed = std::get_if<NewFeed>(&event)) return follow(feed->feed);
   auto& told = std::get<manager::Event>(event);
+  const auto sender = sender_of(told);
   if (const auto* session = std::get_if<manager::SessionEnded>(&told)) {
     const auto id = session->session;
     manager_.handle(now(), std::move(told));
@@ -154,9 +186,8 @@
     manager_.handle(now(), std::move(told));
     close(id);
   } else {
-    if (std::holds_alternative<manager::Leave>(told) && !end_by_)
-      end_by_ = now() + longest_deadline(config_.settings) + kLeaveSpare;
     manager_.handle(now(), std::move(told));
+    if (auto* s = sender ? find(*sender) : nullptr) s->taken();
   }
 }
 
@@ -198,6 +229,11 @@
   if (auto* s = find(session)) s->break_off();
 }
 
+bool Server::close_idle(manager::SessionId session) {
+  auto* s = find(session);
+  return s && s->break_off_idle();
+}
+
 void Server::open(manager::LinkId link, const config::Endpoint& endpoint, Time deadline) {
   try {
     links_.emplace(
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -34,8 +34,7 @@
 
 class Listener {
  public:
-  Listener(const config::Endpoint& endpoint, const config::RealSettings& names, Inbox& inbox,
-           manager::Log& log);
+  Listener(const config::Config& config, manager::Budget& budget, Inbox& inbox, manager::Log& log);
   ~Listener();
   config::Endpoint endpoint() const { return local_endpoint(fd_); }
 
@@ -45,6 +44,8 @@
 
   Fd fd_;
   const config::RealSettings& names_;
+  manager::Budget& budget_;
+  manager::Budget slots_;  // connections that may be there at once
   Inbox& inbox_;
   manager::Log& log_;
   std::uint64_t last_session_ = 0;
@@ -59,12 +60,14 @@
   Server(const config::Config& config, manager::Log& log);  // throws std::system_error; serves from then on
   ~Server();
   config::Endpoint endpoint() const { return listener_->endpoint(); }
-  void leave();  // starts the end: what comes meanwhile is still served
-  void wait();   // until it has come
+  void reload(const config::Config& config);  // of what it names only the feed may change while running
+  void leave();                               // starts the end: what comes meanwhile is still served
+  void wait();                                // until it has come
 
  private:
   void run();
   void take(DriverEvent event);
+  void follow(const std::optional<config::Endpoint>& feed);
   void note_if_slow(Time began, std::size_t events);
   void close_sessions();
 
@@ -73,6 +76,7 @@
   void fail(manager::SessionId session, manager::CallId call, std::string_view why) override;
   void answer_probe(manager::SessionId session, manager::CallId call, bool able) override;
   void close(manager::SessionId session) override;
+  bool close_idle(manager::SessionId session) override;
 
   void open(manager::LinkId link, const config::Endpoint& endpoint, Time deadline) override;
   void send(manager::LinkId link, manager::SendTag tag, EngineRequest request) override;
@@ -95,8 +99,9 @@
   std::map<manager::SessionId, std::shared_ptr<ClientSession>> sessions_;  // the core's thread only
   std::map<manager::LinkId, std::unique_ptr<EngineLink>> links_;           // the core's thread only
   Time next_slow_note_{};
-  std::optional<Time> end_by_;  // at the latest, once told to leave
   manager::Manager manager_;
+  std::optional<config::Endpoint> followed_;  // the core's thread only, as is the follower
+  std::uint64_t last_event_ = 0;
   std::unique_ptr<FeedFollower> feed_;
   std::unique_ptr<Listener> listener_;
   Thread core_;  // last: it uses the rest
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -61,7 +62,14 @@
   return true;
 }
 
-std::size_t Socket::read(char* into, std::size_t size) {
+std::size_t Socket::read_until(char* into, std::size_t size, Time deadline) {
+  if (deadline != Time::max()) {
+    bound_by(fd_.get(), SO_RCVTIMEO, deadline);
+    bounded_ = true;
+  } else if (std::exchange(bounded_, false)) {
+    const timeval forever{0, 0};
+    setsockopt(fd_.get(), SOL_SOCKET, SO_RCVTIMEO, &forever, sizeof forever);
+  }
   ssize_t got = 0;
   do {
     got = ::recv(fd_.get(), into, size, 0);
@@ -69,19 +77,21 @@
   return got > 0 ? static_cast<std::size_t>(got) : 0;
 }
 
-std::size_t Socket::read_until(char* into, std::size_t size, Time deadline) {
-  bound_by(fd_.get(), SO_RCVTIMEO, deadline);
-  return read(into, size);
-}
-
-bool Socket::write(std::string_view bytes) {
+Socket::Written Socket::write(std::string_view bytes) {
+  const std::size_t size = bytes.size();
   while (!bytes.empty()) {
     const ssize_t sent = ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
     if (sent < 0 && errno == EINTR) continue;
-    if (sent <= 0) return false;
+    if (sent <= 0) return bytes.size() == size ? Written::none : Written::some;
     bytes.remove_prefix(static_cast<std::size_t>(sent));
   }
-  return true;
+  return Written::all;
+}
+
+bool Socket::unread() {
+  const std::lock_guard lock(mutex_);
+  int bytes = 0;
+  return fd_ && ::ioctl(fd_.get(), FIONREAD, &bytes) == 0 && bytes > 0;
 }
 
 void Socket::break_off() {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -37,15 +37,17 @@
 
   bool connect(const config::Endpoint& endpoint, Time deadline, std::string* why);
   // The bytes that came; 0: the end, or broken off, or nothing came by `deadline`.
-  std::size_t read(char* into, std::size_t size);
   std::size_t read_until(char* into, std::size_t size, Time deadline);
-  bool write(std::string_view bytes);  // false: broken; some of it may have left
-  void break_off();                    // whoever reads or writes returns
+  enum class Written { all, some, none };
+  Written write(std::string_view bytes);  // some: broken, and some of it may have left; none: nothing has
+  bool unread();                          // have bytes come that no one has read?
+  void break_off();                       // whoever reads or writes returns
 
  private:
   std::mutex mutex_;
   Fd fd_;
   bool broken_ = false;
+  bool bounded_ = false;  // the reader's own: does a deadline bound its reads?
 };
 
 Fd listen_on(const config::Endpoint& endpoint);  // throws std::system_error
--- a/src/protocol/msgpack_rpc.cpp
+++ b/src/protocol/msgpack_rpc.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::uint8_t kNil = 0xc0;
+constexpr std::size_t kKeptBytes = 4 * 1024;  // of the buffer of a connection that waits
 
 std::uint64_t big_endian(std::string_view bytes) {
   std::uint64_t n = 0;
@@ -237,6 +238,7 @@
   if (!scan()) return std::nullopt;
   ClientMessage message = read_message(std::string_view(buffer_).substr(0, scanned_));
   buffer_.erase(0, scanned_);
+  if (buffer_.empty() && buffer_.capacity() > kKeptBytes) buffer_.shrink_to_fit();
   scanned_ = 0;
   open_.assign(1, 1);
   return message;
--- a/src/protocol/msgpack_rpc.h
+++ b/src/protocol/msgpack_rpc.h
@@ -41,7 +41,7 @@
 class MsgpackReader {
  public:
   struct Bounds {
-    std::size_t message_bytes = 128 * 1024;
+    std::size_t message_bytes = 64 * 1024;
     std::size_t depth = 8;
     std::size_t elements = 256;  // of one array or map
   };
@@ -49,7 +49,8 @@
   MsgpackReader() : MsgpackReader(Bounds{}) {}
 
   void feed(std::string_view bytes) { buffer_.append(bytes); }
-  std::optional<ClientMessage> next();  // throws ProtocolError
+  std::optional<ClientMessage> next();                    // throws ProtocolError
+  std::size_t pending() const { return buffer_.size(); }  // bytes of a message that is not whole yet
 
  private:
   bool scan();  // true once a whole message lies in front
--- a/src/protocol/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -57,7 +57,7 @@
   for (const auto& [word, meaning] : words) {
     if (word == text) return meaning;
   }
-  return AnswerWord::other;
+  throw ProtocolError("an answer with an unknown word");
 }
 
 Remark remark_of(string_view text) {
@@ -143,7 +143,6 @@
   answer.id = part(0);
   answer.word = word_of(part(1));
   answer.body = part(3);
-  if (part(2) == "-") return answer;
   each_pair(part(2), ',', '=', [&](string_view name, string_view value) {
     if (name == "total") answer.pages = required(name, parse<std::uint32_t>(value));
     if (name == "index") answer.page = required(name, parse<std::uint32_t>(value));
--- a/src/protocol/resp.h
+++ b/src/protocol/resp.h
@@ -24,8 +24,8 @@
 class RespReader {
  public:
   struct Bounds {
-    std::size_t text_bytes = 64 * 1024;
-    std::size_t parts = 8;
+    std::size_t text_bytes = 6000;  // a page; all else is shorter
+    std::size_t parts = 4;
     std::size_t number_bytes = 20;
   };
   RespReader(std::vector<std::string> report_fields, Bounds bounds);
@@ -33,7 +33,8 @@
       : RespReader(std::move(report_fields), Bounds{}) {}
 
   void feed(std::string_view bytes) { buffer_.append(bytes); }
-  std::optional<EngineAnswer> next();  // throws ProtocolError
+  std::optional<EngineAnswer> next();                     // throws ProtocolError
+  std::size_t pending() const { return buffer_.size(); }  // bytes of an answer that is not whole yet
 
  private:
   bool scan();
--- a/tests/node/helper.h
+++ b/tests/node/helper.h
@@ -78,12 +78,15 @@
       : config(c),
         core(
             config, now, [](std::int64_t ms) { return Time(Duration(ms * 1000000)); }, budget, *this, *this,
-            *this) {}
+            *this) {
+    hear(manager::SessionBegan{manager::SessionId{1}});
+  }
 
   config::Config config;
   Time now{Duration(1000s)};
   manager::Budget budget{1 << 20};
   std::map<std::pair<manager::SessionId, manager::CallId>, std::vector<Reply>> replies;
+  std::set<manager::SessionId> busy;  // something has come from them that the core has not heard yet
   std::set<manager::LinkId> links;
   std::map<manager::SendTag, Out> out;
   std::vector<std::string> said;  // in order: what went to engines
@@ -145,6 +148,11 @@
   void close(manager::SessionId s) override {
     said.push_back("close " + std::to_string(static_cast<int>(s)));
   }
+  bool close_idle(manager::SessionId s) override {
+    if (busy.count(s)) return false;
+    close(s);
+    return true;
+  }
   void open(manager::LinkId link, const config::Endpoint& at, Time) override {
     links.insert(link), said.push_back("open " + to_string(at));
   }
@@ -162,7 +170,13 @@
     said.push_back("fetch " + std::to_string(page));
   }
   void end(manager::LinkId, std::string_view id) override { said.push_back("end " + std::string(id)); }
-  void close(manager::LinkId link) override { links.erase(link); }
+  void close(manager::LinkId link) override {  // gives up all that is open on it
+    links.erase(link);
+    for (const auto& [tag, o] : out) {
+      if (o.link == link) said.push_back("given up " + o.id);
+    }
+    std::erase_if(out, [&](const auto& o) { return o.second.link == link; });
+  }
   void note(std::string_view line) override { notes.emplace_back(line); }
 };
 
--- a/tests/node/manager_test.cpp
+++ b/tests/node/manager_test.cpp
@@ -15,21 +15,21 @@
 TEST_CASE_FIXTURE(Fixture, "a result of several pages is fetched, ended and passed on in order") {
   arrive(1);
   const Out o = written();
-  answer(o, AnswerWord::served, 3, 0, "a");
+  answer(o, AnswerWord::served, 3, 0, "a\t1\t\n");
   CHECK(count("fetch 1") + count("fetch 2") == 2);
-  answer(o, AnswerWord::rows, 1, 2, "c");
+  answer(o, AnswerWord::rows, 1, 2, "c\t3\t\n");
   CHECK(to(1).empty());
-  answer(o, AnswerWord::rows, 1, 1, "b");
+  answer(o, AnswerWord::rows, 1, 1, "b\t2\t\n");
   CHECK(said.back() == "end " + o.id);
   REQUIRE(to(1).size() == 1);
-  CHECK(to(1)[0].rows == "abc");
+  CHECK(to(1)[0].rows == "a\t1\t\nb\t2\t\nc\t3\t\n");
   CHECK(budget.used() == 0);
 }
 
 TEST_CASE_FIXTURE(Fixture, "a lost page means that it may have run: what must not run twice fails") {
   arrive(1, 1);
   const Out o = written();
-  answer(o, AnswerWord::served, 2, 0, "a");
+  answer(o, AnswerWord::served, 2, 0, "a\tb\tc\n");
   answer(o, AnswerWord::crashed);
   pass(1s);
   REQUIRE(to(1).size() == 1);
@@ -90,7 +90,7 @@
   hear(manager::Leave{});
   hear(manager::ProbeAsked{manager::SessionId{1}, 9});
   CHECK(to(9)[0].kind == "leaving");
-  pass(900ms);
+  pass(800ms);
   CHECK_FALSE(core.left(now));
   answer(o, AnswerWord::served);
   CHECK(core.left(now));
@@ -98,6 +98,112 @@
   CHECK(to(2)[0].kind == "refused");
 }
 
+TEST_CASE_FIXTURE(Fixture,
+                  "a client that asks for nothing is closed, one with something open or on its way is not") {
+  const auto session = [](int n) { return manager::SessionId(n); };
+  arrive(1);
+  for (const int n : {2, 3}) hear(manager::SessionBegan{session(n)});
+  busy.insert(session(3));
+  pass(2500ms);
+  CHECK(count("close 1") + count("close 3") == 0);
+  CHECK(count("close 2") == 1);
+  busy.clear();
+  hear(manager::ProbeAsked{session(3), 1});
+  pass(5s);
+  CHECK(count("close 3") == 0);
+  pass(2s);
+  CHECK(count("close 3") == 1);
+}
+
+TEST_CASE("when connections run short, who was never answered goes first, and who has something open stays") {
+  manager::Sessions sessions({4, 32, 8, 2s, 6s, 1s});
+  const auto id = [](int n) { return manager::SessionId(n); };
+  const Time at{1000s};
+  for (int n = 1; n <= 3; ++n) CHECK_FALSE(sessions.begin(at + n * 1ms, id(n)).has_value());
+  sessions.opened(at, id(1));
+  sessions.answered(at, id(2));
+  CHECK((sessions.begin(at, id(4)) == id(3)));
+  sessions.end(id(3));
+  CHECK((sessions.begin(at, id(5)) == id(4)));
+  CHECK((sessions.begin(at, id(6)) == id(5)));
+  sessions.keep(id(4));  // something had come from it
+  CHECK((sessions.begin(at, id(7)) == id(4)));
+}
+
+TEST_CASE_FIXTURE(
+    Fixture, "a client whose first request no engine can use is failed at once, without a second attempt") {
+  arrive(1);
+  answer(written(), AnswerWord::crashed);
+  REQUIRE(to(1).size() == 1);
+  CHECK(to(1)[0].kind == "failed");
+  arrive(2);
+  CHECK(to(2)[0].kind == "failed");
+  pass(1s);
+  arrive(3);
+  answer(written(), AnswerWord::served, 1, 0, "a\tb\tc\n");
+  CHECK(to(3)[0].kind == "served");
+  arrive(4);
+  answer(written(), AnswerWord::crashed);
+  pass(1s);
+  CHECK(count("req 0000000000000001") == 1);
+  CHECK(count("req 0000000000000004") == 2);
+}
+
+TEST_CASE_FIXTURE(Fixture, "an id in use is not taken again, whoever sends it") {
+  arrive(1);
+  arrive(1, 0, 4s, 1);
+  CHECK(count("close 1") == 1);
+  hear(manager::SessionBegan{manager::SessionId{2}});
+  arrive(1, 0, 4s, 2);
+  CHECK(to(1, 2)[0].kind == "failed");
+}
+
+TEST_CASE_FIXTURE(
+    Fixture, "rows that are no rows are never passed on: the connection goes, and the request goes again") {
+  for (const std::string rows : {"a\tb\n", "a\tb\tc", "a\tb\tc\n\n", "a\t\x01\tc\n"}) {
+    Fixture f;
+    f.arrive(1);
+    const Out o = f.written();
+    f.answer(o, AnswerWord::served, 1, 0, rows);
+    CHECK(f.links.count(o.link) == 0);
+    f.pass(100ms);
+    CHECK(f.to(1).empty());
+    CHECK(f.count("req 0000000000000001") == 2);
+  }
+}
+
+TEST_CASE_FIXTURE(
+    Fixture,
+    "each attempt has a connection of its own, and a connection that is silent is asked, then closed") {
+  arrive(1, 1);
+  const Out first = written();
+  arrive(2, 1);
+  const Out second = written();
+  CHECK(first.link != second.link);
+  pass(800ms);
+  CHECK(count("hello alive") == 2);
+  confirm(first.link, "alive");
+  pass(1s);
+  CHECK(links.count(first.link) == 1);
+  CHECK(to(1).empty());
+  CHECK(links.count(second.link) == 0);
+  CHECK(to(2)[0].kind == "failed");
+}
+
+TEST_CASE_FIXTURE(
+    Fixture, "told to leave, whatever is open has its answer before the end, and may be asked elsewhere") {
+  hear(manager::Leave{});
+  arrive(1);
+  written();
+  arrive(2, 1);
+  written();
+  for (int i = 0; i < 8; ++i) pass(400ms), confirm(only().link, "alive");
+  pass(200ms);
+  CHECK(to(1)[0].kind == "refused");
+  CHECK(to(2)[0].kind == "failed");
+  CHECK(core.left(now));
+}
+
 // Random steps against a model: one answer for each request not given up, and never two attempts of one at
 // once.
 TEST_CASE("whatever happens, each request gets one answer and never has two attempts out") {
@@ -136,6 +242,7 @@
         }
       }
       for (; seen < f.said.size(); ++seen) {
+        if (f.said[seen].rfind("given up ", 0) == 0) attempts[f.said[seen].substr(9)] = 0;
         if (f.said[seen].rfind("req ", 0) == 0) CHECK(++attempts[f.said[seen].substr(4)] == 1);
       }
     }
