Forget engines that went a minute ago, in the directory and in the module

Both forget an engine 60 s after its end, when nothing runs there; one that is back sooner is still known, and its start maps to the same time.

--- a/src/manager/directory.cpp
+++ b/src/manager/directory.cpp
@@ -6,6 +6,8 @@
 namespace yokestream::manager {
 namespace {
 
+constexpr Duration kForgetAfter = std::chrono::seconds(60);
+
 // An unknown name gets a position past the end: the module then knows nothing of it.
 template <class Id>
 Id position(const std::vector<std::string>& names, const std::string& name) {
@@ -22,7 +24,27 @@
   return time;
 }
 
-lynxstand::EngineList Directory::apply(const config::MembersEvent& event, bool remembered) {
+// Guards the memory where new engines replace old ones under new names for good. One that comes back soon is
+// still known, and its start maps to the same time.
+void Directory::forget(Time now) {
+  std::erase_if(engines_, [&](const auto& known) {
+    const auto& [uid, record] = known;
+    if (!record.gone_since || now - *record.gone_since < kForgetAfter) return false;
+    starts_.erase(uid);
+    const auto owner = owners_.find(record.endpoint);
+    if (owner != owners_.end() && owner->second == uid) owners_.erase(owner);
+    return true;
+  });
+}
+
+void Directory::note_gone(EngineRecord& record, Time now) {
+  if (record.state != lynxstand::EngineState::gone)
+    record.gone_since.reset();
+  else if (!record.gone_since)
+    record.gone_since = now;
+}
+
+lynxstand::EngineList Directory::apply(Time now, const config::MembersEvent& event, bool remembered) {
   lynxstand::EngineList list;
   list.kind = remembered    ? lynxstand::ListKind::remembered
               : event.whole ? lynxstand::ListKind::full
@@ -32,11 +54,13 @@
     for (const auto& member : event.members) named.insert(member.uid);
     for (auto& [uid, record] : engines_) {
       if (!named.count(uid)) record.state = lynxstand::EngineState::gone;
+      note_gone(record, now);
     }
   }
   for (const auto& member : event.members) {
     EngineRecord& record = engines_[member.uid];
     record.state = member.state;
+    note_gone(record, now);
     record.boot_ms = member.boot_ms;
     if (member.endpoint) record.endpoint = *member.endpoint;
     if (member.endpoint && member.state == lynxstand::EngineState::up) claim(*member.endpoint, member);
--- a/src/manager/directory.h
+++ b/src/manager/directory.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -15,6 +16,7 @@
   config::Endpoint endpoint;
   std::int64_t boot_ms = 0;
   lynxstand::EngineState state = lynxstand::EngineState::gone;
+  std::optional<Time> gone_since;
 };
 
 class Directory {
@@ -24,12 +26,16 @@
       : names_(names), from_unix_(std::move(from_unix)) {}
 
   // Takes in an event and returns it as the module is to hear it.
-  lynxstand::EngineList apply(const config::MembersEvent& event, bool remembered);
+  lynxstand::EngineList apply(Time now, const config::MembersEvent& event, bool remembered);
+  // Drops what is known of engines that went long ago.
+  void forget(Time now);
+  std::size_t known() const { return engines_.size(); }
 
   // nullptr: nothing may be sent there, as it is not up or its address has gone to another.
   const EngineRecord* usable(const std::string& uid) const;
 
  private:
+  void note_gone(EngineRecord& record, Time now);
   void claim(const config::Endpoint& endpoint, const config::Member& member);
   Time started(const std::string& uid, std::int64_t boot_ms);
 
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -97,7 +97,7 @@
       controller_(config.settings, config.seed, now),
       now_(now) {
   bool first = true;
-  for (const auto& event : config.known) tell(directory_.apply(event, std::exchange(first, false)));
+  for (const auto& event : config.known) tell(directory_.apply(now, event, std::exchange(first, false)));
   at(now + kSweepEvery, Sweep{});
   run_controller();
 }
@@ -432,7 +432,7 @@
 }
 
 void Manager::on(const ListChanged& changed) {
-  tell(directory_.apply(changed.event, false));
+  tell(directory_.apply(now_, changed.event, false));
   // Guards the rule on drains: a request still queued for an engine that is no longer up is taken back, not
   // written late.
   std::vector<QueryId> out;
@@ -488,6 +488,7 @@
     on(LinkEnded{link, "it does not answer"});
   }
   for (const SessionId session : sessions_.overdue(now_)) close_idle(session);
+  directory_.forget(now_);
   at(now_ + kSweepEvery, Sweep{});
 }
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -81,6 +81,8 @@
 constexpr Duration kUnknownRest = milliseconds(1000);  // for a load known only by those that wait for it
 constexpr double kShareStep = 0.01;                    // weight of a load report in this front's share
 
+constexpr Duration kForget = std::chrono::seconds(60);  // after its last word: an engine that is gone
+
 constexpr Duration kFollowLeast = milliseconds(250);  // before the list is asked for again
 constexpr int kFollowParts = 16;                      // of the time within which it has to be
 
@@ -257,6 +259,7 @@
     if (c.repeatable == Repeatable::keyed && q.may_run_since) {
       if (now - *q.may_run_since >= c.repeat_window - kTick) return false;
       const auto first = engines.find(q.ran_on);
+      if (first == engines.end()) return false;
       if (c.repeat_group == RepeatGroup::zone && first->second.entry.zone != e.entry.zone) return false;
       if (c.repeat_group == RepeatGroup::cell && first->second.entry.cell != e.entry.cell) return false;
     }
@@ -641,6 +644,14 @@
     refresh_views();
   }
   void refresh_views() {
+    // Danger: engines are replaced for good under new names, and what is kept of them grows. One that comes
+    // back soon is still known.
+    const auto forgotten = [&](const Engine& e) {
+      return e.entry.state == EngineState::gone && e.running.empty() &&
+             now - std::max(e.heard, kLongAgo) > kForget;
+    };
+    std::erase_if(by_hash, [&](const auto& known) { return forgotten(*known.second); });
+    std::erase_if(engines, [&](const auto& known) { return forgotten(known.second); });
     cores = 0;
     double up = 0;
     for (auto& [name, e] : engines) {
--- a/src/protocol/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -67,6 +67,14 @@
   return Remark::none;
 }
 
+// Guards what is learned from answers: a figure that no engine can mean is as good as none.
+constexpr double kMostElapsedMs = 1e8;
+constexpr double kMostMemoryMb = 1e8;
+constexpr double kMostReported = 1e5;
+std::optional<double> plausible(double figure, double most) {
+  return figure >= 0 && figure <= most ? std::optional(figure) : std::nullopt;
+}
+
 template <class Number>
 Number required(string_view name, const std::optional<Number>& value) {
   if (!value) throw ProtocolError("an answer whose field " + string(name) + " is no number");
@@ -148,13 +156,15 @@
     if (name == "index") answer.page = required(name, parse<std::uint32_t>(value));
     if (name == "remark") answer.remark = remark_of(value);
     if (name == "datum") answer.datum = required(name, parse_real(value));
-    if (name == "elapsed") answer.elapsed_ms = required(name, parse_real(value));
-    if (name == "rss") answer.rss_mb = required(name, parse_real(value));
+    if (name == "elapsed") answer.elapsed_ms = plausible(required(name, parse_real(value)), kMostElapsedMs);
+    if (name == "rss")
+      answer.rss_mb = plausible(required(name, parse_real(value)), kMostMemoryMb).value_or(0);
     if (name != "report") return;
     answer.report.assign(report_fields_.size(), -1.0);
     each_pair(value, ';', ':', [&](string_view field, string_view figure) {
       for (std::size_t i = 0; i < report_fields_.size(); ++i) {
-        if (report_fields_[i] == field) answer.report[i] = required(field, parse_real(figure));
+        if (report_fields_[i] == field)
+          answer.report[i] = plausible(required(field, parse_real(figure)), kMostReported).value_or(-1);
       }
     });
   });
--- a/tests/node/config_test.cpp
+++ b/tests/node/config_test.cpp
@@ -44,7 +44,8 @@
 TEST_CASE("an address belongs to who started last there, and a whole list ends what it does not name") {
   const auto config = config::decode_config(config_text());
   manager::Directory directory(config.real, [](std::int64_t ms) { return Time(Duration(ms)); });
-  directory.apply(config.known[0], true);
+  const Time now{1000s};
+  directory.apply(now, config.known[0], true);
   const auto up = [&](const std::string& uid) { return directory.usable(uid) != nullptr; };
   CHECK(up("e1"));
   const auto member = [](const std::string& uid, int boot) {
@@ -55,12 +56,17 @@
   const auto event = [](const std::string& all, const std::string& members) {
     return config::decode_members(R"({"n":2,"members":{"all":)" + all + R"(,"targets":[)" + members + "]}}");
   };
-  directory.apply(event("false", member("e2", 5) + "," + member("e1", 0)), false);
+  directory.apply(now, event("false", member("e2", 5) + "," + member("e1", 0)), false);
   CHECK_FALSE(up("e1"));
   CHECK(up("e2"));
-  directory.apply(event("true", member("e1", 9)), false);
+  directory.apply(now, event("true", member("e1", 9)), false);
   CHECK(up("e1"));
   CHECK_FALSE(up("e2"));
+  directory.forget(now + 50s);
+  CHECK(directory.known() == 2);
+  directory.forget(now + 61s);
+  CHECK(directory.known() == 1);
+  CHECK(up("e1"));
 }
 
 }  // namespace
--- a/tests/node/protocol_test.cpp
+++ b/tests/node/protocol_test.cpp
@@ -95,10 +95,22 @@
   }
 }
 
+TEST_CASE("RESP: figures out of any range are as good as none") {
+  RespReader reader({"queue", "inflight"});
+  reader.feed(
+      "*4\r\n$2\r\nid\r\n$6\r\nserved\r\n$56\r\ntotal=1,elapsed=-5,rss=1e30,report=queue:-1;inflight:1e9\r\n$"
+      "0\r\n\r\n");
+  const auto answer = reader.next();
+  REQUIRE(answer.has_value());
+  CHECK_FALSE(answer->elapsed_ms.has_value());
+  CHECK(answer->rss_mb == 0);
+  CHECK(answer->report == std::vector<double>{-1, -1});
+}
+
 TEST_CASE("RESP: malformed answers are errors") {
   for (const std::string bad :
        {"+OK\r\n", "*1\r\n", "*99\r\n", "*2\r\n$99999999\r\n", "*x\r\n", "*2\r\n$1\r\nabc\r\n",
-        "*3\r\n$1\r\na\r\n$6\r\nserved\r\n$7\r\ntotal=x\r\n"}) {
+        "*2\r\n$1\r\na\r\n$5\r\nsered\r\n", "*3\r\n$1\r\na\r\n$6\r\nserved\r\n$7\r\ntotal=x\r\n"}) {
     RespReader reader({});
     reader.feed(bad);
     CHECK_THROWS_AS(reader.next(), ProtocolError);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -597,6 +597,28 @@
   EXPECT_LE(sent_after(900ms), 10u);
 }
 
+TEST(Health, AnEngineGoneForLongIsForgotten) {
+  const auto tries_after = [](Duration away) {
+    Front f(make_settings(), {engine("a")});
+    std::uint64_t id = 0;
+    for (int i = 0; i < 6; ++i) {  // full each time: the wait for it grows
+      const auto q = f.arrive(++id);
+      f.end(q, Outcome::shed);
+      f.feed(ClientLeft{q});
+      f.pass(7s);
+    }
+    f.list({engine("a", EngineState::gone)});
+    f.pass(away);
+    f.list({engine("a")});
+    const auto q = f.arrive(++id);
+    f.end(q, Outcome::shed);
+    f.pass(300ms);
+    return f.tries(q);
+  };
+  EXPECT_EQ(tries_after(30s), 1u);
+  EXPECT_EQ(tries_after(62s), 2u);
+}
+
 TEST(Bound, WhereAPartHoldsAQueryASlowPoolIsNotEmptied) {
   auto s = make_settings({make_class(20s, 40s)});
   s.fronts = 2;
