Close no client as idle while its reader holds bytes of a request

Read in the code: between recv() and the mailbox a request showed neither in the socket nor in the turns, so break_off_idle() could close upon it. The reader now waits with the bytes left in the socket and says that it is busy before it takes them.

--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -143,7 +143,7 @@
 
 // Guards a request that came while the core was busy: it must not be closed upon as if nothing were open.
 bool ClientSession::break_off_idle() {
-  if (turns_.in_use() || socket_.unread()) return false;
+  if (socket_.unread() || busy_ || turns_.in_use()) return false;  // in the order a message passes
   break_off();
   return true;
 }
@@ -187,7 +187,12 @@
   Pace pace(kBurst, kBetween);
   std::array<char, kReadBytes> bytes;
   Time whole_by = Time::max();
-  while (const std::size_t size = socket_.read_until(bytes.data(), bytes.size(), whole_by)) {
+  while (true) {
+    busy_ = reader.pending() > 0;
+    if (!socket_.wait_until(whole_by)) break;
+    busy_ = true;  // before the bytes leave the socket, where break_off_idle() sees them
+    const std::size_t size = socket_.read_until(bytes.data(), bytes.size(), whole_by);
+    if (size == 0) break;
     const Time arrived = now();
     reader.feed({bytes.data(), size});
     while (auto message = reader.next()) {
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -49,6 +49,7 @@
   Socket socket_;
   Turns turns_;
   std::atomic<bool> served_{false};
+  std::atomic<bool> busy_{false};  // its reader holds bytes of which the core does not know
   Outbox<Item> outbox_;
   Thread reader_, writer_;  // last: they use the rest
 };
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -62,7 +62,16 @@
   return true;
 }
 
+bool Socket::wait_until(Time deadline) {
+  char first = 0;
+  return receive(&first, 1, deadline, MSG_PEEK) > 0;
+}
+
 std::size_t Socket::read_until(char* into, std::size_t size, Time deadline) {
+  return receive(into, size, deadline, 0);
+}
+
+std::size_t Socket::receive(char* into, std::size_t size, Time deadline, int flags) {
   if (deadline != Time::max()) {
     bound_by(fd_.get(), SO_RCVTIMEO, deadline);
     bounded_ = true;
@@ -72,7 +81,7 @@
   }
   ssize_t got = 0;
   do {
-    got = ::recv(fd_.get(), into, size, 0);
+    got = ::recv(fd_.get(), into, size, flags);
   } while (got < 0 && errno == EINTR);
   return got > 0 ? static_cast<std::size_t>(got) : 0;
 }
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -36,6 +36,7 @@
   explicit Socket(Fd fd) : fd_(std::move(fd)) {}
 
   bool connect(const config::Endpoint& endpoint, Time deadline, std::string* why);
+  bool wait_until(Time deadline);  // until there is something to read; it stays in the socket
   // The bytes that came; 0: the end, or broken off, or nothing came by `deadline`.
   std::size_t read_until(char* into, std::size_t size, Time deadline);
   enum class Written { all, some, none };
@@ -44,6 +45,8 @@
   void break_off();                       // whoever reads or writes returns
 
  private:
+  std::size_t receive(char* into, std::size_t size, Time deadline, int flags);
+
   std::mutex mutex_;
   Fd fd_;
   bool broken_ = false;
--- a/tests/node/net_test.cpp
+++ b/tests/node/net_test.cpp
@@ -105,6 +105,26 @@
   CHECK(other.until("\xc3"));
 }
 
+TEST_CASE("a client of which something has come is not closed as idle, be it unread, half read or waiting") {
+  const auto config = config::decode_config(config_text());
+  Quiet log;
+  net::Inbox inbox(10);
+  manager::Budget budget(1 << 20);
+  Listening listening;
+  Peer client(listening.at);
+  Fd fd(::accept(listening.fd.get(), nullptr, nullptr));
+  client.say(call(1, "0123456789abcdef", "select 1") + "\x94");  // and the start of a next one
+  char first = 0;
+  REQUIRE(::recv(fd.get(), &first, 1, MSG_PEEK) == 1);
+  net::ClientSession session(manager::SessionId{1}, std::move(fd), {}, config.real, budget, inbox, log);
+  CHECK_FALSE(session.break_off_idle());  // unread: nobody reads yet
+  session.start();
+  CHECK(inbox.take_until(Time::max()).size() == 1);
+  CHECK_FALSE(session.break_off_idle());  // handed in, and not taken yet
+  session.taken();
+  CHECK_FALSE(session.break_off_idle());  // half read
+}
+
 TEST_CASE("a new configuration moves the feed's follower, and the numbers carry on") {
   Listening engine, old_feed, new_feed;
   Running running(engine.at, &old_feed.at);
