Close flooding clients, thin a crowd without newcomers, leave without losses

Usual clients waited in the listener's backlog, and a leaving manager ended upon them: the losses.

- A client answered 64 times and never served is closed.
- Told to leave, it accepts for 1.2 s, refuses after 0.7 s, closes each client when nothing is open or on its way, and ends when none is left, at the latest after 3.5 s; SIGKILL may come at 3.7 s.
- No client is closed as idle while an answer for it is not written.

--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -19,7 +19,7 @@
 // or by this part of the time left where that is less.
 constexpr Duration kSpare = milliseconds(60);
 constexpr int kSpareParts = 16;
-constexpr Duration kSweepEvery = milliseconds(250);
+constexpr Duration kSweepEvery = milliseconds(200);
 // Guards against two attempts at once: a stop and the next send leave on two connections and may overtake
 // each other, so the next send waits until the engine has confirmed that it read the stop. Where
 // nothing at all comes meanwhile, the link is closed, which gives up all that is open on it.
@@ -29,7 +29,8 @@
 // After the word to leave clients still find this manager for a while, and it serves what comes; what comes
 // later finds no time to be served. It may be killed 3.7 s on, so by then everybody has an answer.
 constexpr Duration kLeaveAccepts = milliseconds(700);
-constexpr Duration kLeaveEnds = milliseconds(3300);
+constexpr Duration kLeaveListens = milliseconds(1200);  // so long, who waits to be accepted still is
+constexpr Duration kLeaveEnds = milliseconds(2900);
 constexpr std::uint32_t kMostPages = 64;  // of one result
 constexpr int kColumns = 3;
 // A client must hear something within 3 s, though it asks for nothing. Usual ones close after 4 s without a
@@ -163,7 +164,7 @@
   if (ids_.count(arrived.request_id)) return fail(arrived.session, arrived.call, "bad field req: in use");
   const bool full = config_.real.open_cap > 0 && calls_.size() >= config_.real.open_cap;
   Reservation held;
-  if (now_ >= accept_until_ || full || !sessions_.may_open(arrived.session) ||
+  if (!accepts(now_) || full || !sessions_.may_open(arrived.session) ||
       !budget_.take(held, arrived.statement.size()))
     return refuse(arrived.session, arrived.call, kBusyWait);
   if (arrived.deadline <= now_) return fail(arrived.session, arrived.call, "Late");
@@ -195,12 +196,12 @@
   const bool advise = config_.settings.may_advise_wait;
   clients_.refuse(session, call,
                   advise ? std::min(come_back_after, config_.settings.most_wait_advice) : Duration{});
-  sessions_.answered(now_, session);
+  if (sessions_.answered(now_, session)) clients_.close(session);
 }
 
 void Manager::fail(SessionId session, CallId call, std::string_view why) {
   clients_.fail(session, call, why);
-  sessions_.answered(now_, session);
+  if (sessions_.answered(now_, session)) clients_.close(session);
 }
 
 void Manager::on(const BadRequest& bad) { fail(bad.session, bad.call, bad.problem); }
@@ -227,6 +228,7 @@
 void Manager::on(const Leave&) {
   if (accept_until_ != Time::max()) return;
   accept_until_ = now_ + kLeaveAccepts;
+  listen_until_ = now_ + kLeaveListens;
   end_by_ = now_ + kLeaveEnds;
   at(end_by_, EndAll{});
 }
@@ -487,7 +489,7 @@
     engines_.close(link);
     on(LinkEnded{link, "it does not answer"});
   }
-  for (const SessionId session : sessions_.overdue(now_)) close_idle(session);
+  for (const SessionId session : sessions_.overdue(now_, !accepts(now_))) close_idle(session);
   directory_.forget(now_);
   at(now_ + kSweepEvery, Sweep{});
 }
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -28,8 +28,12 @@
   Time next_due() const;  // when tick() has something to do
 
   std::size_t open_requests() const { return calls_.size(); }
-  // Told to leave, and nothing is owed or to be expected any more.
-  bool left(Time now) const { return now >= accept_until_ && calls_.empty(); }
+  bool accepts(Time now) const { return now < accept_until_; }  // false: told to leave some time ago
+  bool listens(Time now) const { return now < listen_until_; }
+  // Told to leave, and nothing is owed or to be expected any more. Clients go on asking on connections that
+  // are open, so these are closed first, each when nothing is open on it.
+  bool left(Time now) const { return !listens(now) && calls_.empty() && sessions_.empty(); }
+  Time end_by() const { return end_by_; }  // told to leave: nothing is open from then on
 
  private:
   struct Wake {
@@ -152,6 +156,7 @@
   std::uint64_t last_query_ = 0;
   SendTag last_tag_ = 0;
   Time accept_until_ = Time::max();  // told to leave: when it ends
+  Time listen_until_ = Time::max();
   Time end_by_ = Time::max();
 };
 
--- a/src/manager/sessions.cpp
+++ b/src/manager/sessions.cpp
@@ -14,22 +14,24 @@
   return it == sessions_.end() ? nullptr : &it->second;
 }
 
-std::optional<SessionId> Sessions::begin(Time now, SessionId id) {
-  std::optional<SessionId> victim;
-  if (sessions_.size() >= bounds_.sessions * 3 / 4) {
-    Session* least =
-        nullptr;  // who was never answered goes before who was, and then the one idle for longest
-    for (auto& [other, session] : sessions_) {
-      if (session.open > 0 || session.closing) continue;
-      if (least && std::pair(session.answered, session.last) >= std::pair(least->answered, least->last))
-        continue;
-      least = &session, victim = other;
-    }
-    if (least) least->closing = true;
+// Who was never served goes before who was, and then the one idle for longest.
+std::optional<SessionId> Sessions::victim() {
+  std::optional<SessionId> out;
+  Session* least = nullptr;
+  for (auto& [id, session] : sessions_) {
+    if (session.open > 0 || session.closing) continue;
+    if (least && std::pair(session.served, session.last) >= std::pair(least->served, least->last)) continue;
+    least = &session, out = id;
   }
+  if (least) least->closing = true;
+  return out;
+}
+
+std::optional<SessionId> Sessions::begin(Time now, SessionId id) {
+  const auto out = crowded() ? victim() : std::nullopt;
   Session& session = sessions_[id];
   session.since = session.last = now;
-  return victim;
+  return out;
 }
 
 bool Sessions::may_open(SessionId id) const {
@@ -47,13 +49,16 @@
   if (Session* session = find(id)) --session->open, session->last = now;
 }
 
-void Sessions::answered(Time now, SessionId id) {
-  if (Session* session = find(id)) session->answered = true, session->last = now;
+bool Sessions::answered(Time now, SessionId id) {
+  Session* session = find(id);
+  if (!session) return false;
+  session->answered = true, session->last = now;
+  return ++session->answers >= bounds_.unserved && !session->served;
 }
 
 void Sessions::served(Time now, SessionId id) {
-  answered(now, id);
   if (Session* session = find(id)) session->served = true;
+  answered(now, id);
 }
 
 bool Sessions::proven(SessionId id) const {
@@ -74,14 +79,18 @@
   if (Session* session = find(id)) session->closing = false;
 }
 
-std::vector<SessionId> Sessions::overdue(Time now) {
+std::vector<SessionId> Sessions::overdue(Time now, bool all) {
   std::vector<SessionId> out;
   for (auto& [id, session] : sessions_) {
     if (session.open > 0 || session.closing) continue;
-    const bool over =
-        session.answered ? now - session.last >= bounds_.idle : now - session.since >= bounds_.first_within;
+    const bool over = all || (session.answered ? now - session.last >= bounds_.idle
+                                               : now - session.since >= bounds_.first_within);
     if (over) session.closing = true, out.push_back(id);
   }
+  // Where none is accepted any more no new one makes room for itself.
+  if (crowded()) {
+    if (const auto id = victim()) out.push_back(*id);
+  }
   return out;
 }
 
--- a/src/manager/sessions.h
+++ b/src/manager/sessions.h
@@ -20,6 +20,7 @@
     Duration first_within{};        // by then it has asked for something, or is closed
     Duration idle{};                // a connection with nothing open is closed after
     Duration suspicion{};
+    std::size_t unserved = 64;  // answers to a client that was never served
   };
   explicit Sessions(Bounds bounds) : bounds_(bounds) {}
 
@@ -27,8 +28,9 @@
   std::optional<SessionId> begin(Time now, SessionId id);
   bool may_open(SessionId id) const;
   void opened(Time now, SessionId id);
-  void closed(Time now, SessionId id);    // a request of it is no longer open
-  void answered(Time now, SessionId id);  // something was sent to it
+  void closed(Time now, SessionId id);  // a request of it is no longer open
+  // Something was sent to it. True: it was answered so often and never served that it floods, and has to go.
+  bool answered(Time now, SessionId id);
   void served(Time now, SessionId id);
   bool proven(SessionId id) const;  // was it ever served?
   // An engine could not use a request of it. Never served otherwise, it is suspect for a while.
@@ -36,15 +38,20 @@
   bool suspect(Time now, SessionId id) const;
   void keep(SessionId id);  // what was named could not be closed: something has come from it
   void end(SessionId id) { sessions_.erase(id); }
-  std::vector<SessionId> overdue(Time now);  // each is named once
+  // Those to be closed as they have nothing open: for too long, or, oldest first, as connections run short;
+  // with `all`, each. Each is named once.
+  std::vector<SessionId> overdue(Time now, bool all);
+  bool empty() const { return sessions_.empty(); }
 
  private:
   struct Session {
     Time since{}, last{};
-    std::size_t open = 0;
+    std::size_t open = 0, answers = 0;
     bool answered = false, served = false, closing = false;
     std::optional<Time> blamed;
   };
+  bool crowded() const { return sessions_.size() >= bounds_.sessions * 3 / 4; }
+  std::optional<SessionId> victim();
   Session* find(SessionId id);
   const Session* find(SessionId id) const;
 
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -141,9 +141,10 @@
   socket_.break_off();
 }
 
-// Guards a request that came while the core was busy: it must not be closed upon as if nothing were open.
+// Guards a request that came while the core was busy, and an answer that is not written yet: they must not be
+// closed upon as if nothing were open.
 bool ClientSession::break_off_idle() {
-  if (socket_.unread() || busy_ || turns_.in_use()) return false;  // in the order a message passes
+  if (socket_.unread() || busy_ || turns_.in_use() || !outbox_.idle()) return false;  // as a message passes
   break_off();
   return true;
 }
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -26,7 +26,7 @@
   void answer_probe(manager::CallId call, bool able);
   void taken() { turns_.give_back(); }  // the core has taken in one of its messages
   void break_off();
-  bool break_off_idle();               // false: something has come that the core has not taken in yet
+  bool break_off_idle();               // false: a message or an answer is on its way
   void finish() { outbox_.finish(); }  // the connection ends once all answers are written
 
  private:
--- a/src/net/queue.h
+++ b/src/net/queue.h
@@ -108,13 +108,19 @@
   // The next item for the writer; nullopt once closed, or finished and empty.
   std::optional<Item> take() {
     std::unique_lock lock(mutex_);
+    waiting_ = true;
     news_.wait(lock, [&] { return !items_.empty() || closed_ || finishing_; });
+    waiting_ = false;
     if (closed_ || items_.empty()) return std::nullopt;
     Item item = std::move(items_.front().first);
     bytes_ -= items_.front().second;
     items_.pop_front();
     return item;
   }
+  bool idle() {  // all that was added is written
+    const std::lock_guard lock(mutex_);
+    return items_.empty() && waiting_;
+  }
   // The writer puts back what it took, for withdraw() to find.
   void put_back(Item item) {
     const std::lock_guard lock(mutex_);
@@ -148,7 +154,7 @@
   std::condition_variable news_;
   std::deque<std::pair<Item, std::size_t>> items_;
   std::size_t bytes_ = 0;
-  bool finishing_ = false, closed_ = false;
+  bool finishing_ = false, closed_ = false, waiting_ = false;
 };
 
 }  // namespace yokestream::net
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -19,7 +19,9 @@
 constexpr std::size_t kBudgetShare = 4;                  // a quarter of the memory for statements and results
 constexpr Duration kDescriptorPause = milliseconds(10);  // when none is free
 constexpr Duration kSlowTurn = milliseconds(40);
-constexpr Duration kLastWrites = milliseconds(150);  // for answers that are queued when all is over
+// For answers that are queued when all is over. Guards them against writers that do not run for a moment: a
+// part of a core is shared by all. Still before the kill, 3.7 s after the word to leave.
+constexpr Duration kLastWrites = milliseconds(600);
 
 // Whose message it is, if a client's.
 std::optional<manager::SessionId> sender_of(const manager::Event& event) {
@@ -145,7 +147,9 @@
 void Server::run() {
   while (true) {
     const Time time = now();
-    if (manager_.left(time)) break;
+    const bool late = manager_.end_by() != Time::max() && time >= manager_.end_by() + kLastWrites;
+    if (manager_.left(time) || late) break;
+    if (!manager_.listens(time)) listener_.reset();
     auto events = inbox_.take_until(manager_.next_due());
     const Time began = now();
     const std::size_t count = events.size();
--- a/tests/node/manager_test.cpp
+++ b/tests/node/manager_test.cpp
@@ -92,10 +92,15 @@
   CHECK(to(9)[0].kind == "leaving");
   pass(800ms);
   CHECK_FALSE(core.left(now));
-  answer(o, AnswerWord::served);
-  CHECK(core.left(now));
+  answer(o, AnswerWord::served, 1, 0, "a\tb\tc\n");
+  CHECK_FALSE(core.left(now));  // its client may still ask on this connection
   arrive(2);
   CHECK(to(2)[0].kind == "refused");
+  pass(200ms);
+  CHECK(count("close 1") == 1);
+  hear(manager::SessionEnded{manager::SessionId{1}});
+  pass(300ms);
+  CHECK(core.left(now));
 }
 
 TEST_CASE_FIXTURE(Fixture,
@@ -116,12 +121,12 @@
 }
 
 TEST_CASE("when connections run short, who was never answered goes first, and who has something open stays") {
-  manager::Sessions sessions({4, 32, 8, 2s, 6s, 1s});
+  manager::Sessions sessions({4, 32, 8, 2s, 6s, 1s, 3});
   const auto id = [](int n) { return manager::SessionId(n); };
   const Time at{1000s};
   for (int n = 1; n <= 3; ++n) CHECK_FALSE(sessions.begin(at + n * 1ms, id(n)).has_value());
   sessions.opened(at, id(1));
-  sessions.answered(at, id(2));
+  sessions.served(at, id(2));
   CHECK((sessions.begin(at, id(4)) == id(3)));
   sessions.end(id(3));
   CHECK((sessions.begin(at, id(5)) == id(4)));
@@ -130,6 +135,20 @@
   CHECK((sessions.begin(at, id(7)) == id(4)));
 }
 
+TEST_CASE("a client that is answered often and never served floods, and without new ones the idle still go") {
+  manager::Sessions sessions({4, 32, 8, 2s, 6s, 1s, 3});
+  const auto id = [](int n) { return manager::SessionId(n); };
+  const Time at{1000s};
+  for (int n = 1; n <= 3; ++n) sessions.begin(at, id(n));
+  sessions.served(at, id(1));
+  for (int n = 0; n < 5; ++n) CHECK_FALSE(sessions.answered(at, id(1)));
+  CHECK_FALSE(sessions.answered(at, id(2)));
+  CHECK_FALSE(sessions.answered(at, id(2)));
+  CHECK(sessions.answered(at, id(2)));
+  sessions.opened(at, id(3));
+  CHECK((sessions.overdue(at, false) == std::vector{id(2)}));
+}
+
 TEST_CASE_FIXTURE(
     Fixture, "a client whose first request no engine can use is failed at once, without a second attempt") {
   arrive(1);
@@ -197,10 +216,16 @@
   written();
   arrive(2, 1);
   written();
-  for (int i = 0; i < 8; ++i) pass(400ms), confirm(only().link, "alive");
+  for (int i = 0; i < 8; ++i) {
+    pass(400ms);
+    for (const auto link : std::set(links)) confirm(link, "alive");
+  }
   pass(200ms);
   CHECK(to(1)[0].kind == "refused");
   CHECK(to(2)[0].kind == "failed");
+  CHECK(count("close 1") == 1);
+  hear(manager::SessionEnded{manager::SessionId{1}});
+  pass(300ms);
   CHECK(core.left(now));
 }
 
