Listen for 2.4 s after the word to leave, so that the backlog is empty at the end

Read in the code: Server::run closed the listener 1.2 s on, and who still waited in its backlog, on a node short of CPU, was reset with his request. A busy node needs longer to accept them.

--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -29,7 +29,7 @@
 // After the word to leave clients still find this manager for a while, and it serves what comes; what comes
 // later finds no time to be served. It may be killed 3.7 s on, so by then everybody has an answer.
 constexpr Duration kLeaveAccepts = milliseconds(700);
-constexpr Duration kLeaveListens = milliseconds(1200);  // so long, who waits to be accepted still is
+constexpr Duration kLeaveListens = milliseconds(2400);  // so long, who waits to be accepted still is
 constexpr Duration kLeaveEnds = milliseconds(2900);
 constexpr std::uint32_t kMostPages = 64;  // of one result
 constexpr int kColumns = 3;
