Count each engine once in the pool's mean, and let cold and unseen engines have work

Lines at fault: - see_others(): the mean of what is not told was one over answers, so the crowded engines, which answer most, stood for all; it was never forgotten, so a front that held all for full asked none and learnt nothing. Now each engine counts once, by the age of its last report, beside a presumed load (view_pool); a cold one counts by its own report alone (untold, other_memory). - usual_work(): the class's bias, which is time on crowded engines, counted as work in the ration of cold engines. Where answers tell the work the told estimate is already put right by it. - full(): 1.8 threads a core. Time taken over the work billed was 1.00 up to 7 queries an engine, 1.1 up to 23 and 1.3 above, so most engines held for full were not. For a front of many it is 2.6 now; with up to four fronts nothing changes.

Ruled out: strain and price (0 in all refusals), shunning, the sum over engines (pool_room held), 'est' against the wanted time (2%).

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -41,8 +41,10 @@
 constexpr double kDensityStep = 0.005;  // the same in the mean worth of a second of work: minutes
 constexpr double kMemoryAll = 1.0;      // of its memory, by what is seen of all fronts' queries
 constexpr double kMemoryTold = 0.8;     // the same where reports tell it: near 1 most run short and spill
-constexpr double kFullAlone = 4;    // the same where nearly all are this front's: some of them stand still
-constexpr double kFullAll = 1.8;    // threads a core of all fronts that make an engine full
+constexpr double kFullAlone = 4;  // the same where nearly all are this front's: some of them stand still
+constexpr double kFullAll = 1.8;  // threads a core of all fronts that make an engine full
+constexpr double kFullSeldom =
+    2.6;                            // to one front of many: its view is old, and most still do all their work
 constexpr double kLostNotes = 2.6;  // notes missed by one attempt, its engine heard from: its answer is lost
 constexpr Duration kGap = milliseconds(100);  // without an event of its own: this front stood still
 constexpr double kDear = 1.0;                 // seconds after which one refused for its price may come back
@@ -73,8 +75,11 @@
 constexpr Duration kProbeAnswer = milliseconds(400);  // without an answer: the probe is lost
 constexpr double kLookFrom = 0.6;                     // of full, pool's mean, from which all look around
 constexpr double kViewFresh = 0.25;                   // seconds for which a report is as good as a probe
-constexpr double kFresh = 0.8;     // weight of an engine's report from which it is as good as a probe
-constexpr double kPoolStep = 0.1;  // weight of a report in the pool's mean of what is not told
+constexpr double kFresh = 0.8;    // weight of an engine's report from which it is as good as a probe
+constexpr double kPoolFade = 6;   // seconds after which an engine's report counts a third in the pool's mean
+constexpr double kPoolPrior = 1;  // threads a core, and share of memory: the pool's mean before any report,
+constexpr double kPriorMemory = 0.3;
+constexpr double kPriorWeight = 0.3;  // and its weight, in fresh reports
 
 constexpr double kLoadRest = 0.2;  // seconds that a load past its estimate is taken to need still
 constexpr Duration kLoadOverdue = milliseconds(3000);  // past its estimate: the end of a load is lost
@@ -184,13 +189,33 @@
   double told_from() const { return kTellLeast + kTellWork * (s.fronts - 1); }
   // What other fronts run and nobody told of: by the last report, and as it ages by the pool's mean.
   double untold(const Engine& e) const {
-    return e.fresh * e.others + (1 - e.fresh) * pool_others * e.cores * e.warm;
+    return e.fresh * e.others + (is_cold(e) ? 0 : (1 - e.fresh) * pool_others * e.cores);
   }
   double other_threads(const Engine& e) const { return e.told_threads + untold(e); }
   double other_memory(const Engine& e) const {
     if (pool_memory < 0) return e.told_memory + untold(e) / mean_threads * mean_memory;
-    return e.told_memory + e.fresh * e.others_memory + (1 - e.fresh) * pool_memory * e.memory;
+    return e.told_memory + e.fresh * e.others_memory +
+           (is_cold(e) ? 0 : (1 - e.fresh) * pool_memory * e.memory);
+  }
+  // Danger: answers come most from where most runs. A mean over answers shows the crowded engines for all,
+  // and to a front of many, which meets most engines seldom, all look full, the idle ones first: none dares
+  // to send there, and no answer puts it right. So each engine counts once, by the age of its last report,
+  // beside what is presumed. One that is cold counts for itself alone: its ration keeps it from being
+  // filled.
+  void view_pool() {
+    double weight = kPriorWeight, others = kPriorWeight * kPoolPrior, memory = kPriorWeight * kPriorMemory;
+    for (auto& [name, e] : engines) {
+      e.fresh = std::exp(-seconds(now - e.others_at) / kReportFade);
+      if (e.entry.state != EngineState::up || is_cold(e) || e.others_at == kLongAgo) continue;
+      const double w = std::exp(-seconds(now - e.others_at) / kPoolFade);
+      weight += w;
+      others += w * e.others / e.cores;
+      if (e.memory > 0) memory += w * e.others_memory / e.memory;
+    }
+    if (pool_others > 0) pool_others = others / weight;
+    if (pool_memory >= 0) pool_memory = memory / weight;
   }
+  bool is_cold(const Engine& e) const { return e.cold_since && now - *e.cold_since < s.cold; }
 
   // Danger: a cold engine does a part of its work, and its kind's weights don't know. Its time is stretched
   // by the part that it is told to have, growing evenly until it is warm.
@@ -283,7 +308,8 @@
   double usual_work(std::size_t i) const {
     const double mean = classes[i].mean_work;
     if (mean == 0) return seconds(s.classes[i].aim) * s.classes[i].threads / 2;
-    return mean * std::max(1.0, classes[i].bias);
+    // where answers tell the work, the told estimate is put right by it; the bias is time, not work
+    return s.tells_cost ? mean : mean * std::max(1.0, classes[i].bias);
   }
   // Danger: work sent to an engine just started topples it, and one that nobody dares to fill stays empty.
   // Fronts take turns: the time between two of one front's grows with the work it sent, and the first comes
@@ -351,7 +377,8 @@
 
   bool seen(const Engine& e) const { return probes && e.fresh > kFresh; }
   double full(const Query& q) const {
-    return (kFullAll + (kFullAlone - kFullAll) * share) * (q.over_share ? kSpare : 1);
+    const double all = std::max(kFullSeldom * (1 - share), kFullAll + (kFullAlone - kFullAll) * share);
+    return all * (q.over_share ? kSpare : 1);
   }
   bool sees_others() const { return s.fronts > 1 && (s.may_message || pool_others > 0); }
 
@@ -658,9 +685,9 @@
       std::erase_if(e.loads, [&](const auto& l) { return now > l.second.second + kLoadOverdue; });
       e.sum_told(now, s.classes);
       e.warm = warmth(e);
-      e.fresh = std::exp(-seconds(now - e.others_at) / kReportFade);
       if (e.entry.state == EngineState::up) cores += e.cores * e.warm, ++up;
     }
+    view_pool();
     mean_part = up > 0 ? cores * share / up : 0;
     if (pool_bound == 0) pool_bound = cores * share;
   }
@@ -815,7 +842,7 @@
     e.others = std::max({0.0, unknown * mean_threads, busy - e.threads - e.told_threads});
     e.others_at = now;
     e.fresh = 1;
-    pool_others += kPoolStep * (e.others / (e.cores * e.warm) - pool_others);
+    if (pool_others == 0) pool_others = kPoolPrior;
   }
   // Reports tell queries, busy cores, busy disks, the line for memory or memory granted; each is taken as
   // running threads, the most that any of them stands for.
@@ -829,8 +856,7 @@
       if (field == ReportField::cpu || field == ReportField::disks) busy = std::max(busy, report[k]);
       if (field == ReportField::memory) {
         e.others_memory = std::max(0.0, report[k] * e.memory - e.granted - e.told_memory);
-        const double part = e.others_memory / std::max(1.0, e.memory);
-        pool_memory = pool_memory < 0 ? part : pool_memory + kPoolStep * (part - pool_memory);
+        if (pool_memory < 0) pool_memory = kPriorMemory;
       }
     }
     if (inflight < 0 && busy < 0) return;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -428,6 +428,66 @@
   EXPECT_LT(on_small, 117);
 }
 
+// A front of many whose engines tell in each answer, or when `told` of them, how many queries they hold.
+Settings seldom_met() {
+  auto s = make_settings({make_class(2s, 8s)});
+  s.fronts = 100;
+  s.kinds = {{8, 0}};
+  s.reports = ReportSource::answers;
+  s.report_fields = {ReportField::inflight};
+  return s;
+}
+void told(Front& f, const std::string& engine, double inflight) {
+  f.feed(ProbeEnded{{engine}, Outcome::served, 1ms, {inflight}});
+}
+
+// Seen on the days at size: most answers came from the crowded engines, and the idle ones were held for as
+// full.
+TEST(Pool, AnEngineCountsOnceInTheMeanHoweverOftenItAnswers) {
+  std::vector<EngineEntry> all;
+  for (const char* name : {"a", "b", "c", "d", "e", "f", "g", "h"}) all.push_back(engine(name));
+  Front f(seldom_met(), all);
+  for (const char* name : {"c", "d", "e", "f", "g", "h"}) {
+    told(f, name, 4);
+    for (int i = 0; i < 20; ++i) told(f, i % 2 ? "a" : "b", 40), f.pass(10ms);
+  }
+  f.pass(5s);  // nothing is fresh any more
+  const auto q = f.arrive(1, 8s);
+  f.pass(1s);
+  EXPECT_EQ(f.tries(q), 1u);
+}
+
+TEST(Pool, WhatWasSeenOfACrowdedOneIsForgottenAndDoesNotLockItOut) {
+  Front f(seldom_met(), {engine("a"), engine("b")});
+  for (int i = 0; i < 30; ++i) told(f, i % 2 ? "a" : "b", 40);
+  const auto at_once = f.arrive(1, 8s);
+  f.pass(1s);
+  EXPECT_EQ(f.tries(at_once), 0u);  // full, as it was told
+  f.pass(40s);
+  const auto later = f.arrive(2, 8s);
+  f.pass(1s);
+  EXPECT_EQ(f.tries(later), 1u);
+}
+
+TEST(Pool, AColdEngineIsNotTakenForAsCrowdedAsTheOthers) {
+  auto s = seldom_met();
+  s.fronts = 10;
+  s.cold = 12s;
+  s.start_capacity = 0.4;
+  s.tip_multiple = 2.5;
+  s.tip_after = 3s;
+  Front f(s, {engine("a")});
+  for (int i = 0; i < 30; ++i) told(f, "a", 40);
+  auto cold = engine("b");
+  cold.started = f.now;
+  f.list({cold});
+  f.pass(4s);
+  told(f, "a", 40);
+  const auto q = f.arrive(1, 8s);
+  f.pass(1s);
+  EXPECT_EQ(f.tries(q), 1u);
+}
+
 TEST(Peers, WhatIsToldOfIsCountedAndDamageIsIgnored) {
   auto s = make_settings({make_class(4s, 8s)});
   s.kinds = {{4, 1000}};
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -204,6 +204,44 @@
   EXPECT_GT(static_cast<double>(all), limit / 2);  // in two seconds: about half of what it can do
 }
 
+// Seen on the days at size: time taken on crowded engines was counted as work, and new ones stayed empty.
+TEST(RuleCold, WhereAnswersTellTheWorkTheRationGoesByItAndNotByTheTimeTaken) {
+  auto s = cold_settings();
+  s.classes[0].aim = s.classes[0].deadline = 60s;
+  s.fronts = 5;
+  s.kinds = {{16, 0}};
+  s.tells_cost = true;
+  const auto sent_after = [&](Duration took) {
+    Front f(s, {engine("a")});
+    std::uint64_t id = 1;
+    for (; id <= 60; ++id) {
+      const auto q = f.arrive(id, 60s, 100ms);
+      f.pass(took);
+      if (f.tries(q) > 0)
+        f.feed(AttemptEnded{q, AttemptNo{0}, {"a"}, Outcome::served, took, true, {}, 100ms, 64});
+    }
+    auto cold = engine("b");
+    cold.started = f.now;
+    f.list({engine("a", EngineState::draining), cold});
+    f.order.clear();
+    std::size_t sent = 0;
+    for (int i = 0; i < 200; ++i) {
+      f.arrive(id++, 60s, 100ms);
+      f.pass(50ms);
+      while (!f.order.empty()) {
+        const auto q = f.order.back();
+        f.order.pop_back();
+        f.feed(AttemptEnded{q, AttemptNo{0}, {"b"}, Outcome::served, took, true, {}, 100ms, 64});
+        ++sent;
+      }
+    }
+    return sent;
+  };
+  const auto usual = sent_after(100ms);
+  EXPECT_GE(usual, 4u);
+  EXPECT_GE(sent_after(1s) + 1, usual);
+}
+
 TEST(RuleCold, ARestartUnderTheSameIdIsCold) {
   const auto s = cold_settings();
   Front f(s, {engine("a")});
