Never let the core wait for the listener, so that a restart answers what is open

At fault: Server::run() destroyed the listener on the core's thread, which joins a thread in accept(), and relied on shutdown() of the listening socket to wake it. Ruled out: the guards (no 'found no answer' line), the answers of EndAll (they come at 2.9 s, which the core never reached), broken connections (none logged).

Now the listener waits in poll() for clients and for its own end, its socket never blocks, and the undertaker joins it. The test program runs on a platform where shutdown() wakes nobody; a core that is told to end hangs there without the change.

--- a/src/net/poller.cpp
+++ b/src/net/poller.cpp
@@ -15,12 +15,6 @@
 constexpr std::size_t kAtOnce = 64;  // connections that one wait names
 constexpr std::uint64_t kWake = ~std::uint64_t{0};
 
-int milliseconds_until(Time due) {
-  if (due == Time::max()) return -1;
-  const auto left = std::chrono::ceil<std::chrono::milliseconds>(due - now()).count();
-  return static_cast<int>(std::clamp<std::int64_t>(left, 0, 60'000));
-}
-
 }  // namespace
 
 Poller::Poller(const char* name)
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -1,8 +1,12 @@
 #include "net/server.h"
 
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -60,28 +64,33 @@
   dead_.add(std::move(link), 0);
 }
 
+void Undertaker::bury(std::unique_ptr<Listener> listener) { dead_.add(std::move(listener), 0); }
+
 Listener::Listener(const config::Config& config, manager::Budget& budget, Inbox& inbox, Readers& readers,
                    manager::Log& log)
     : fd_(listen_on(config.listen)),
+      over_(::eventfd(0, EFD_CLOEXEC)),
       names_(config.real),
       budget_(budget),
       slots_(config.limits.sessions()),
       inbox_(inbox),
       readers_(readers),
       log_(log) {
+  if (!over_ || ::fcntl(fd_.get(), F_SETFL, O_NONBLOCK) != 0)
+    throw std::system_error(errno, std::generic_category(), "cannot wait for clients");
   thread_ = Thread("listener", kSmallStack, [this] { accept_all(); });
 }
 
 Listener::~Listener() {
-  const std::lock_guard lock(mutex_);
-  over_ = true;
-  ::shutdown(fd_.get(), SHUT_RDWR);  // accept() returns
-  ending_.notify_all();
+  const std::uint64_t one = 1;
+  [[maybe_unused]] const auto written = ::write(over_.get(), &one, sizeof one);
 }
 
-bool Listener::pause() {
-  std::unique_lock lock(mutex_);
-  return !ending_.wait_until(lock, to_steady(now() + kDescriptorPause), [&] { return over_; });
+// Guards the end: whoever waits in accept() itself is not woken by the end of the listener on every platform.
+bool Listener::wait_until(Time deadline, bool for_clients) {
+  pollfd both[] = {{over_.get(), POLLIN, 0}, {fd_.get(), POLLIN, 0}};
+  ::poll(both, for_clients ? 2 : 1, milliseconds_until(deadline));
+  return (both[0].revents & POLLIN) == 0;
 }
 
 void Listener::accept_all() {
@@ -91,9 +100,10 @@
     // core closes idle connections before it comes to that.
     manager::Reservation slot;
     if (!slots_.take(slot, 1)) {
-      if (!pause()) return;
+      if (!wait_until(now() + kDescriptorPause, false)) return;
       continue;
     }
+    if (!wait_until(Time::max(), true)) return;
     sockaddr_in from{};
     socklen_t size = sizeof from;
     Fd fd(::accept4(fd_.get(), reinterpret_cast<sockaddr*>(&from), &size, SOCK_CLOEXEC));
@@ -111,9 +121,11 @@
       continue;
     }
     // Guards against an end of descriptors or memory: who waits is accepted when some are free again.
-    const bool passing = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
+    const int error = errno;
+    const bool passing = error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
     if (passing && !std::exchange(short_of, true)) log_.note("no descriptor is free for a new connection");
-    if (passing ? !pause() : errno == EINVAL || errno == EBADF) return;
+    const bool gone = error == EAGAIN || error == EINTR || error == ECONNABORTED;  // it left before its turn
+    if (!gone && !wait_until(now() + kDescriptorPause, false)) return;
   }
 }
 
@@ -163,7 +175,7 @@
     const Time time = now();
     const bool late = manager_.end_by() != Time::max() && time >= manager_.end_by() + kLastWrites;
     if (manager_.left(time) || late) break;
-    if (!manager_.listens(time)) listener_.reset();
+    if (listener_ && !manager_.listens(time)) undertaker_.bury(std::move(listener_));
     auto events = inbox_.take_until(manager_.next_due());
     const Time began = now();
     const std::size_t count = events.size();
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -1,11 +1,8 @@
 // The whole manager on sockets: the listener, all connections, the feed, and the thread that owns the core.
 #pragma once
 
-#include <atomic>
-#include <condition_variable>
 #include <map>
 #include <memory>
-#include <mutex>
 #include <optional>
 
 #include "config/config.h"
@@ -19,20 +16,26 @@
 
 namespace yokestream::net {
 
-// Destroys connections, which joins their threads, on a thread of its own: the core never waits for one.
+class Listener;
+
+// Destroys connections and the listener, which joins their threads, on a thread of its own: the core never
+// waits for one.
 class Undertaker {
  public:
   Undertaker();
   ~Undertaker();
   void bury(std::shared_ptr<ClientSession> session);
   void bury(std::shared_ptr<EngineLink> link);
+  void bury(std::unique_ptr<Listener> listener);
 
  private:
-  using Connection = std::variant<std::shared_ptr<ClientSession>, std::shared_ptr<EngineLink>>;
-  Outbox<Connection> dead_;
+  using Dead =
+      std::variant<std::shared_ptr<ClientSession>, std::shared_ptr<EngineLink>, std::unique_ptr<Listener>>;
+  Outbox<Dead> dead_;
   Thread thread_;
 };
 
+// Accepts clients. Its thread waits for them and for its own end together.
 class Listener {
  public:
   Listener(const config::Config& config, manager::Budget& budget, Inbox& inbox, Readers& readers,
@@ -42,9 +45,9 @@
 
  private:
   void accept_all();
-  bool pause();
+  bool wait_until(Time deadline, bool for_clients);  // false: it is over
 
-  Fd fd_;
+  Fd fd_, over_;  // over_: can be read once all is over
   const config::RealSettings& names_;
   manager::Budget& budget_;
   manager::Budget slots_;  // connections that may be there at once
@@ -52,10 +55,7 @@
   Readers& readers_;
   manager::Log& log_;
   std::uint64_t last_session_ = 0;
-  std::mutex mutex_;
-  std::condition_variable ending_;
-  bool over_ = false;
-  Thread thread_;
+  Thread thread_;  // last: it uses the rest
 };
 
 class Server : private manager::ClientPort, private manager::EnginePort {
--- a/tests/node/net_test.cpp
+++ b/tests/node/net_test.cpp
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 #include <signal.h>
 #include <sys/socket.h>
+#include <sys/syscall.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -13,6 +14,15 @@
 #include "net/pace.h"
 #include "net/server.h"
 
+// A platform on which the end of a listening socket does not wake who waits in accept(): the whole test
+// program stands on one, in place of the system's call.
+extern "C" int shutdown(int fd, int how) noexcept {
+  int listens = 0;
+  socklen_t size = sizeof listens;
+  if (::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) == 0 && listens != 0) return 0;
+  return static_cast<int>(::syscall(SYS_shutdown, fd, how));
+}
+
 namespace yokestream::test {
 namespace {
 
@@ -133,6 +143,19 @@
   CHECK(threads() <= before);  // the link costs none either
 }
 
+// Found on the bench: the core waited for the listener's thread, and what was open found no answer.
+TEST_CASE("a manager told to end answers what is open and ends, though nobody comes any more") {
+  Listening engine;
+  Running running(engine.at);
+  Peer client(running.server->endpoint());
+  client.say(call(1, "0123456789abcdef", "select 1"));
+  Peer link = engine.accept();
+  REQUIRE(link.until("select 1"));
+  running.server->leave();
+  CHECK(client.until("Shed"));
+  running.server->wait();
+}
+
 // What a client session stands in, without a server: who takes its messages, and who would read it.
 struct Reading {
   explicit Reading(std::size_t most_readers) : readers{manager::Budget(most_readers), lobby} {}
