Play whole fleets on one virtual clock, and count a query's own work in the cold ration

Seen there first: with six in ten engines replaced, 2 (100 x 60) and 14 (300 x 80) cold engines got more than they bear. Causes in the ration of cold engines: usual_work() was the first query's work for the next fifty, told work is half the real one and the factor that puts it right moved by 5% an answer, of which one of 300 managers sees few; and a long report was let in by the class's mean. Now the mean and the first bills count by their number, and the larger of the mean and the query's own work goes into the ration.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -16,6 +16,7 @@
 constexpr double kBiasStep = 0.05;     // same for the class bias: it is shared by all engines, so slower
 constexpr double kOutlier = 3.0;       // errors count as at most this many mean errors
 constexpr double kTie = 0.10;          // share: estimates this close are one; fewer threads a core decide
+constexpr double kBillsPresumed = 3;   // answers for which the told work is taken to be right, at first
 constexpr double kLevelStep = 0.03;    // weight of one outcome in a class's level: some 30 make a mean
 constexpr double kBestRise = 0.002;    // share by which the best follows a worse level: over minutes
 constexpr double kSlowStep = 0.1;      // weight of one outcome in an engine's slowdown
@@ -290,7 +291,7 @@
     }
     if (!has_turn(q)) return false;
     if (!q.attempts.empty() && !extra_left()) return false;
-    return cold_room(e, usual_work(pos(q.told.cls)));
+    return cold_room(e, std::max(usual_work(pos(q.told.cls)), q.work));
   }
   bool has_turn(const Query& q) const {
     if (!cls(q).in_order || !q.told.order_key) return true;
@@ -306,7 +307,7 @@
     return within(extras, from) + 1 <= s.extra_free + s.extra_ratio * within(taken, from + Duration(1));
   }
   double usual_work(std::size_t i) const {
-    const double mean = classes[i].mean_work;
+    const double mean = classes[i].mean_told * classes[i].work_factor;
     if (mean == 0) return seconds(s.classes[i].aim) * s.classes[i].threads / 2;
     // where answers tell the work, the told estimate is put right by it; the bias is time, not work
     return s.tells_cost ? mean : mean * std::max(1.0, classes[i].bias);
@@ -732,7 +733,8 @@
     const auto& c = cls(q);
     auto& state = classes[pos(told.cls)];
     q.work = told.work ? seconds(*told.work) * state.work_factor : usual_work(pos(told.cls));
-    if (told.work) state.mean_work += (state.mean_work == 0 ? 1 : kMeansStep) * (q.work - state.mean_work);
+    if (told.work)
+      state.mean_told += std::max(kMeansStep, 1 / ++state.arrived) * (seconds(*told.work) - state.mean_told);
     q.aim = now + c.aim + from_seconds(c.aim_stretch * q.work / c.threads);
     // Danger: a client that comes again still counts from its first try; serving it late costs a fresh
     // query's place. What is left of its patience, where most have more on arrival, tells how long ago that
@@ -804,7 +806,8 @@
       auto& c = classes[pos(q.told.cls)];
       // means of logarithms: bad plans take many times the told work, and told work scatters
       if (end.work && *end.work > Duration{} && q.told.work)
-        c.work_factor *= std::pow(seconds(*end.work) / (seconds(*q.told.work) * c.work_factor), kBiasStep);
+        c.work_factor *= std::pow(seconds(*end.work) / (seconds(*q.told.work) * c.work_factor),
+                                  std::max(kBiasStep, 1 / (++c.billed + kBillsPresumed)));
       if (!a.spilled) c.memory_factor = std::max(1.0, c.memory_factor * 0.998);
     } else if (o == Outcome::shed) {
       strain += kStrainStep * (kStrainMost - strain);
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -73,12 +73,12 @@
   double mean_error = 1;  // mean absolute error of Est, in unloaded times
   Duration usual_left{};  // time left that most have on arrival, by majority vote
   int usual_votes = 0;
-  double mean_work = 0;            // seconds, as told; 0: not seen yet
-  double outcomes = 0, level = 0;  // mean logarithm of time taken over unloaded time
-  double spread = 1;               // mean deviation from it
-  double best = 0;                 // its best, followed upwards slowly
-  double work_factor = 1;          // work that answers tell over told work
-  double memory_factor = 1;        // granted over told memory
+  double arrived = 0, mean_told = 0;   // queries that told their work; its mean in seconds, as told
+  double outcomes = 0, level = 0;      // mean logarithm of time taken over unloaded time
+  double spread = 1;                   // mean deviation from it
+  double best = 0;                     // its best, followed upwards slowly
+  double billed = 0, work_factor = 1;  // answers that told the work; it over told work
+  double memory_factor = 1;            // granted over told memory
 };
 
 struct Attempt {
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -5,6 +5,7 @@
 
 #include "standin/deadline.h"
 #include "standin/door_measure.h"
+#include "standin/fleet_situations.h"
 #include "standin/pool.h"
 #include "standin/scenarios.h"
 
@@ -68,6 +69,12 @@
   queues_command->add_option("--seed", seed, "for all random numbers");
   queues_command->add_option("--seconds", seconds, "not used: the clock is virtual");
   queues_command->callback([&] { status = standin::measure_queues(traffic, seed) ? 0 : 1; });
+  auto* fleet_command =
+      app.add_subcommand("fleet", "Measure whole fleets on the virtual clock, in trouble and without");
+  fleet_command->add_option("--seed", seed, "for all random numbers");
+  fleet_command->add_option("--seconds", seconds, "not used: the clock is virtual");
+  fleet_command->add_option("situation", only, "one situation; all without it");
+  fleet_command->callback([&] { status = standin::measure_fleet(seed, only) ? 0 : 1; });
   auto* demo_command =
       app.add_subcommand("demo", "Show the manager serving, with engines and clients of ours");
   demo_command->add_option("--program", program, "the yokestream program")->required();
