--- a/src/config/config.h
+++ b/src/config/config.h
@@ -18,7 +18,7 @@
   std::size_t sockets = 1024;
 
   // How the descriptors are shared out. Usual clients hold a third of them at most; each connection also
-  // costs two threads and its buffers, some 40 KB.
+  // costs its buffers, some 40 KB.
   std::size_t links() const { return std::min(sockets / 3, memory_mb * 3); }
   std::size_t sessions() const { return std::min(sockets - links() - kOtherDescriptors, memory_mb * 6); }
 
