Presume nothing of other managers where there are none

At fault: the presumed load of the pool (kPoolPrior, kPriorMemory) was put into it whatever this front's share, so a single manager took engines not met lately for busy and preferred the others. Now it is the others' part of it.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -204,7 +204,8 @@
   // beside what is presumed. One that is cold counts for itself alone: its ration keeps it from being
   // filled.
   void view_pool() {
-    double weight = kPriorWeight, others = kPriorWeight * kPoolPrior, memory = kPriorWeight * kPriorMemory;
+    const double prior = kPriorWeight * (1 - share);  // nothing is presumed of others where there are none
+    double weight = kPriorWeight, others = prior * kPoolPrior, memory = prior * kPriorMemory;
     for (auto& [name, e] : engines) {
       e.fresh = std::exp(-seconds(now - e.others_at) / kReportFade);
       if (e.entry.state != EngineState::up || is_cold(e) || e.others_at == kLongAgo) continue;
@@ -845,7 +846,7 @@
     e.others = std::max({0.0, unknown * mean_threads, busy - e.threads - e.told_threads});
     e.others_at = now;
     e.fresh = 1;
-    if (pool_others == 0) pool_others = kPoolPrior;
+    if (pool_others == 0) pool_others = kPoolPrior * (1 - share);
   }
   // Reports tell queries, busy cores, busy disks, the line for memory or memory granted; each is taken as
   // running threads, the most that any of them stands for.
@@ -859,7 +860,7 @@
       if (field == ReportField::cpu || field == ReportField::disks) busy = std::max(busy, report[k]);
       if (field == ReportField::memory) {
         e.others_memory = std::max(0.0, report[k] * e.memory - e.granted - e.told_memory);
-        if (pool_memory < 0) pool_memory = kPriorMemory;
+        if (pool_memory < 0) pool_memory = kPriorMemory * (1 - share);
       }
     }
     if (inflight < 0 && busy < 0) return;
