Keep the places of client connections with the server, which outlives them

Seen: the thread sanitizer, on the new test of a manager told to end with a request open: a connection gave its place back to a listener that was gone (heap-use-after-free in Reservation::~Reservation).

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -66,13 +66,13 @@
 
 void Undertaker::bury(std::unique_ptr<Listener> listener) { dead_.add(std::move(listener), 0); }
 
-Listener::Listener(const config::Config& config, manager::Budget& budget, Inbox& inbox, Readers& readers,
-                   manager::Log& log)
+Listener::Listener(const config::Config& config, manager::Budget& slots, manager::Budget& budget,
+                   Inbox& inbox, Readers& readers, manager::Log& log)
     : fd_(listen_on(config.listen)),
       over_(::eventfd(0, EFD_CLOEXEC)),
       names_(config.real),
       budget_(budget),
-      slots_(config.limits.sessions()),
+      slots_(slots),
       inbox_(inbox),
       readers_(readers),
       log_(log) {
@@ -133,6 +133,7 @@
     : config_(config),
       log_(log),
       budget_(config.limits.memory_mb * 1024 * 1024 / kBudgetShare),
+      slots_(config.limits.sessions()),
       inbox_(kInboxEvents),
       dock_("dock"),
       lobby_("lobby"),
@@ -140,7 +141,7 @@
       manager_(config, now(), from_unix_ms, budget_, *this, *this, log) {
   last_event_ = config.known_number;
   follow(config.feed);
-  listener_ = std::make_unique<Listener>(config, budget_, inbox_, readers_, log);
+  listener_ = std::make_unique<Listener>(config, slots_, budget_, inbox_, readers_, log);
   core_ = Thread("core", kLargeStack, [this] { run(); });
 }
 
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -38,8 +38,9 @@
 // Accepts clients. Its thread waits for them and for its own end together.
 class Listener {
  public:
-  Listener(const config::Config& config, manager::Budget& budget, Inbox& inbox, Readers& readers,
-           manager::Log& log);
+  // `slots`: connections that may be there at once; it outlives them, as the listener does not.
+  Listener(const config::Config& config, manager::Budget& slots, manager::Budget& budget, Inbox& inbox,
+           Readers& readers, manager::Log& log);
   ~Listener();
   config::Endpoint endpoint() const { return local_endpoint(fd_); }
 
@@ -50,7 +51,7 @@
   Fd fd_, over_;  // over_: can be read once all is over
   const config::RealSettings& names_;
   manager::Budget& budget_;
-  manager::Budget slots_;  // connections that may be there at once
+  manager::Budget& slots_;
   Inbox& inbox_;
   Readers& readers_;
   manager::Log& log_;
@@ -98,7 +99,7 @@
 
   const config::Config& config_;
   manager::Log& log_;
-  manager::Budget budget_;
+  manager::Budget budget_, slots_;  // bytes; client connections
   Inbox inbox_;
   Poller dock_, lobby_;  // before all that holds connections: they are read there; engines, clients
   Readers readers_;
