Share the schedule's entry and an engine's served answer between the two virtual pools

Read over again: the fleet had written both a second time beside the world (src/standin/schedule.h holds them now). Nothing else changes; the pool, queue and fleet tests pass. Only stand-ins are touched, none of which the program links.

--- a/src/standin/fleet.cpp
+++ b/src/standin/fleet.cpp
@@ -371,15 +371,7 @@
     e.runs.erase(it);
     if (age < seconds_of(e.settings.cold_for)) figures_.cold_work += ended.work;
     if (e.silent) continue;
-    EngineAnswer answer;
-    answer.id = ended.id;
-    answer.word = AnswerWord::served;
-    answer.pages = 1;
-    answer.body = "a\tb\tc\n";
-    answer.elapsed_ms = ended.work * 1000;
-    answer.rss_mb = ended.memory;
-    answer.report = {static_cast<double>(e.model->queued()), static_cast<double>(e.model->running()),
-                     e.model->granted()};
+    const EngineAnswer answer = served_answer(*e.model, ended);
     Seat& to = *seats_[seat];
     later(now_ + kWire, [&to, link, answer, life = to.life] {
       to.over(link, life, manager::Answered{manager::LinkId{link}, answer});
--- a/src/standin/fleet.h
+++ b/src/standin/fleet.h
@@ -19,6 +19,7 @@
 #include "config/config.h"
 #include "standin/draw.h"
 #include "standin/engine_model.h"
+#include "standin/schedule.h"
 
 namespace yokestream::standin {
 
@@ -88,15 +89,6 @@
     int answers = 0, runs = 0;
     bool lost = false;  // its manager was killed
   };
-  struct Due {
-    Time time;
-    std::uint64_t order;
-    std::function<void()> what;
-    bool operator>(const Due& other) const {
-      return std::tie(time, order) > std::tie(other.time, other.order);
-    }
-  };
-
   void later(Time time, std::function<void()> what);
   void arrive(std::size_t seat);
   void answered(std::size_t seat, std::uint64_t call, const char* how);
--- /dev/null
+++ b/src/standin/schedule.h
@@ -0,0 +1,33 @@
+// What the virtual pools share: one thing that falls due, and an engine's answer to a query that ended.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <tuple>
+
+#include "messages/engine.h"
+#include "standin/engine_model.h"
+
+namespace yokestream::standin {
+
+struct Due {  // the earliest first, and in the order of their making
+  Time time;
+  std::uint64_t order;
+  std::function<void()> what;
+  bool operator>(const Due& other) const { return std::tie(time, order) > std::tie(other.time, other.order); }
+};
+
+inline EngineAnswer served_answer(const EngineModel& model, const EngineModel::Ended& ended) {
+  EngineAnswer answer;
+  answer.id = ended.id;
+  answer.word = AnswerWord::served;
+  answer.pages = 1;
+  answer.body = "a\tb\tc\n";
+  answer.elapsed_ms = ended.work * 1000;
+  answer.rss_mb = ended.memory;
+  answer.report = {static_cast<double>(model.queued()), static_cast<double>(model.running()),
+                   model.granted()};
+  return answer;
+}
+
+}  // namespace yokestream::standin
--- a/src/standin/world.cpp
+++ b/src/standin/world.cpp
@@ -80,15 +80,7 @@
     for (const auto& ended : e.model->advance(now_)) {
       const auto it = e.runs.find(ended.id);
       if (it == e.runs.end()) continue;
-      EngineAnswer answer;
-      answer.id = ended.id;
-      answer.word = AnswerWord::served;
-      answer.pages = 1;
-      answer.body = "a\tb\tc\n";
-      answer.elapsed_ms = ended.work * 1000;
-      answer.rss_mb = ended.memory;
-      answer.report = {static_cast<double>(e.model->queued()), static_cast<double>(e.model->running()),
-                       e.model->granted()};
+      const EngineAnswer answer = served_answer(*e.model, ended);
       const manager::LinkId link = it->second;
       e.runs.erase(it);
       later(now_ + kWire, [this, link, answer] { hear(manager::Answered{link, answer}); });
--- a/src/standin/world.h
+++ b/src/standin/world.h
@@ -15,6 +15,7 @@
 #include "manager/manager.h"
 #include "standin/draw.h"
 #include "standin/engine_model.h"
+#include "standin/schedule.h"
 
 namespace yokestream::standin {
 
@@ -110,15 +111,6 @@
     Time sent{};
     double quoted = -1;  // none, or done with
   };
-  struct Due {
-    Time time;
-    std::uint64_t order;
-    std::function<void()> what;
-    bool operator>(const Due& other) const {
-      return std::tie(time, order) > std::tie(other.time, other.order);
-    }
-  };
-
   void hear(manager::Event event);
   void later(Time time, std::function<void()> what);
   void arrivals(std::size_t load);
