End no client's connection for a thread, a watch or memory that can't be had

So each way to lose one was looked for by reading, and by a test in which the system refuses threads, descriptors and watches at random. Found, with the lines at fault:

- engine_link.h: `begun_` stood before `why_`.
A connect that fails at once (no descriptor, no port) assigned its reason to a string that was not constructed yet, over whatever a link freed before had left there: the heap was written over.
The members stand in the right order now.
- client_session.cpp, read_busy(): a bounded wait that ended before its time by the clock was taken for the end of the connection, which was closed on its open requests as "closed by its client".
The end is now told by the kernel's word alone.
- sender.h: a slow peer's connection was closed where no writer thread could be had.
There are no writer threads any more: one poller writes to all slow peers.
- poller.cpp: what epoll_ctl said was not looked at; a connection that could not be watched was never read.
It is looked at every 10 ms instead, until it can be watched.
- client_session.cpp, bound_rest(): a client for whose next message there was no memory lost all that it had open.
It is read on later.

--- a/src/manager/budget.h
+++ b/src/manager/budget.h
@@ -21,6 +21,7 @@
     return *this;
   }
   ~Reservation();
+  std::size_t bytes() const { return bytes_; }
 
  private:
   friend class Budget;
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -148,7 +148,9 @@
       socket_(std::move(fd)),
       turns_(kMostWaiting),
       pace_(kBurst, kBetween),
-      sender_("client-write", kOutboxBytes, socket_, [](const Item& item) { return item.bytes; }) {
+      sender_(
+          kOutboxBytes, socket_, [](const Item& item) { return item.bytes; },
+          [this] { readers_.writer.admit(std::shared_ptr<Watched>(shared_from_this(), &sender_)); }) {
   sender_.open();
 }
 
@@ -235,14 +237,15 @@
 // A client that is stuck inside a message holds its bytes and its descriptor: it has until an absolute
 // deadline to finish, and what all such clients hold together is bounded. Time with nothing open is bounded
 // by the core.
-void ClientSession::bound_rest() {
-  if (reader_.pending() == 0)
-    whole_by_ = Time::max();
+// Where there is no memory for its next message a client is read on later: what it has open is owed answers,
+// so its connection is not closed for that.
+bool ClientSession::bound_rest() {
+  const std::size_t pending = reader_.pending(), held = buffered_.bytes();
+  if (pending == 0)
+    whole_by_ = Time::max(), buffered_ = {};
   else if (whole_by_ == Time::max())
     whole_by_ = arrived_ + kMessageWithin;
-  manager::Reservation pending;
-  if (!budget_.take(pending, reader_.pending())) throw protocol::ProtocolError("no memory for a message");
-  buffered_ = std::move(pending);
+  return pending <= held || budget_.take(buffered_, pending - held);
 }
 
 void ClientSession::hand_in(protocol::ClientMessage message) {
@@ -273,7 +276,11 @@
       pace_.took(now);
       hand_in(std::move(*std::exchange(waiting_, std::nullopt)));
     }
-    bound_rest();
+    if (!bound_rest()) {
+      if (now >= whole_by_) throw protocol::ProtocolError("no memory for a message");
+      due_ = std::min(whole_by_, now + kLookAgain);
+      return Look::later;
+    }
     const auto size = socket_.read_now(bytes.data(), bytes.size());
     if (size == 0) return Look::ended;
     if (!size) break;
@@ -318,13 +325,11 @@
       if (!turns_.take()) return false;  // broken off: end() tells so
       hand_in(std::move(*std::exchange(waiting_, std::nullopt)));
     }
-    bound_rest();
+    if (!bound_rest()) return true;
     busy_ = reader_.pending() > 0;
-    const Time idle_at = now() + kReaderIdle;
-    if (!socket_.wait_until(std::min(whole_by_, idle_at))) {
-      if (now() >= whole_by_) throw protocol::ProtocolError("stuck inside a message");
-      return now() >= idle_at;  // else it has ended, and the lobby would find so too
-    }
+    // Silent: the lobby reads it on, and sees to it that what has begun is whole in time.
+    const auto waited = socket_.wait_until(std::min(whole_by_, now() + kReaderIdle));
+    if (waited != Socket::Waited::something) return waited == Socket::Waited::nothing;
     busy_ = true;
     const auto size = socket_.read_now(bytes.data(), bytes.size());
     if (size == 0) return false;
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -3,7 +3,7 @@
 //
 // It is read by the lobby's thread (poller.h) while it has not been served often, or is idle, and by a reader
 // of its own while it is a busy client and there is one to be had; never by both. Answers are written by the
-// core's thread, which never waits, and by a writer thread once the client is slow (sender.h).
+// core's thread, which never waits, and by the writer's thread while the client is slow (sender.h).
 #pragma once
 
 #include <atomic>
@@ -22,10 +22,12 @@
 
 namespace yokestream::net {
 
-// The readers of their own that clients may have, together, and where a client goes that needs none any more.
+// The readers of their own that clients may have, together, and where a client goes that needs none any more;
+// and who writes to clients that are slow.
 struct Readers {
   manager::Budget places;
   Poller& lobby;
+  Poller& writer;
 };
 
 class ClientSession : public Watched, public std::enable_shared_from_this<ClientSession> {
@@ -36,7 +38,6 @@
   ~ClientSession() override;  // breaks off and joins
 
   // For the lobby's thread.
-  std::uint64_t number() const override { return static_cast<std::uint64_t>(id_); }
   int descriptor() const override { return socket_.descriptor(); }
   Look look(Time now, bool asked) override;
   Time due() const override { return due_; }
@@ -66,13 +67,14 @@
   void add(std::string bytes, manager::Reservation held, std::size_t counted);
   void say(std::string bytes);
   void decode(std::string_view bytes, Time arrived);
-  void bound_rest();  // of a message that is not whole yet: its time and its bytes
+  // Of a message that is not whole yet: its time and its bytes. False: there is no memory for more of it now.
+  bool bound_rest();
   void hand_in(protocol::ClientMessage message);
   Look read_now(Time now);
   // A client that has been served often and has just asked gets a reader. False: it needs none, or none can
   // be had, and it is read here as before.
   bool start_reader();
-  bool read_busy();  // true: it has been idle, false: it has ended
+  bool read_busy();  // true: it goes back to the lobby, false: it has ended
 
   const manager::SessionId id_;
   const manager::Reservation slot_;
--- a/src/net/engine_link.cpp
+++ b/src/net/engine_link.cpp
@@ -14,13 +14,15 @@
 }  // namespace
 
 EngineLink::EngineLink(manager::LinkId id, const config::Endpoint& endpoint, Time deadline,
-                       const std::vector<std::string>& report_fields, Inbox& inbox)
+                       const std::vector<std::string>& report_fields, Inbox& inbox, Poller& writer)
     : id_(id),
       up_by_(deadline),
       inbox_(inbox),
+      writer_(writer),
       begun_(socket_.begin_connect(endpoint, &why_)),
       reader_(report_fields),
-      sender_("engine-write", kOutboxBytes, socket_, &EngineLink::word) {}
+      sender_(kOutboxBytes, socket_, &EngineLink::word,
+              [this] { writer_.admit(std::shared_ptr<Watched>(shared_from_this(), &sender_)); }) {}
 
 EngineLink::~EngineLink() { break_off(); }
 
--- a/src/net/engine_link.h
+++ b/src/net/engine_link.h
@@ -1,8 +1,9 @@
 // One connection to an engine. The dock's thread sees it come up and then decodes answers (poller.h);
-// requests are written by who sends them, and by a writer thread once the engine is slow to read (sender.h).
-// RESP.
+// requests are written by who sends them, and by the writer's thread while the engine is slow to read
+// (sender.h). RESP.
 #pragma once
 
+#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
@@ -14,11 +15,11 @@
 
 namespace yokestream::net {
 
-class EngineLink : public Watched {
+class EngineLink : public Watched, public std::enable_shared_from_this<EngineLink> {
  public:
   // Begins to connect. It never throws and never tells at once: how it went is told by the dock's looks.
   EngineLink(manager::LinkId id, const config::Endpoint& endpoint, Time deadline,
-             const std::vector<std::string>& report_fields, Inbox& inbox);
+             const std::vector<std::string>& report_fields, Inbox& inbox, Poller& writer);
   ~EngineLink() override;  // breaks off and joins
 
   void send(manager::SendTag tag, EngineRequest request);
@@ -27,7 +28,6 @@
   void break_off();
 
   // For the dock's thread.
-  std::uint64_t number() const override { return static_cast<std::uint64_t>(id_); }
   int descriptor() const override { return socket_.descriptor(); }
   Look look(Time now, bool asked) override;
   Time due() const override { return up_ ? whole_by_ : up_by_; }
@@ -46,14 +46,16 @@
   const manager::LinkId id_;
   const Time up_by_;
   Inbox& inbox_;
+  Poller& writer_;
   Socket socket_;
+  // The dock's thread only, once it is constructed. In this order: a connection that fails at its begin says
+  // why.
+  std::string why_ = "closed or reset by the engine";
   Socket::Begun begun_;
-  // The dock's thread only.
   protocol::RespReader reader_;
   bool up_ = false;
   Time whole_by_ = Time::max();  // an answer that has begun is whole by then
-  std::string why_ = "closed or reset by the engine";
-  Sender<Item> sender_;  // last: its writer uses the rest
+  Sender<Item> sender_;
 };
 
 }  // namespace yokestream::net
--- a/src/net/poller.cpp
+++ b/src/net/poller.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::size_t kAtOnce = 64;  // connections that one wait names
 constexpr std::uint64_t kWake = ~std::uint64_t{0};
+constexpr Duration kLookAgain = std::chrono::milliseconds(10);  // at what the system can't watch
 
 }  // namespace
 
@@ -49,14 +50,16 @@
   wake();
 }
 
-// One shot: a connection is named once and then again only after it has been looked at.
-void Poller::watch(const Watched& connection, Watched::Look look, int operation) {
+// One shot: a connection is named once and then again only after it has been looked at. Guards against a
+// system that has no room to watch one more: nobody would read it, and what it asks would find no answer. It
+// is looked at all the time instead, until there is room.
+void Poller::watch(std::uint64_t number, Guest& guest, Watched::Look look) {
   epoll_event event{};
-  event.events = EPOLLRDHUP | EPOLLONESHOT;
+  event.events = EPOLLONESHOT | (look == Watched::Look::writable ? EPOLLOUT : EPOLLRDHUP);
   if (look == Watched::Look::again) event.events |= EPOLLIN;
-  if (look == Watched::Look::writable) event.events |= EPOLLOUT;
-  event.data.u64 = connection.number();
-  ::epoll_ctl(epoll_.get(), operation, connection.descriptor(), &event);
+  event.data.u64 = number;
+  const int operation = guest.watched ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
+  guest.watched = ::epoll_ctl(epoll_.get(), operation, guest.connection->descriptor(), &event) == 0;
 }
 
 void Poller::take_in() {
@@ -70,17 +73,16 @@
   for (const auto& weak : coming) {
     auto connection = weak.lock();
     if (!connection) continue;  // gone meanwhile
-    const auto number = connection->number();
-    watch(*connection, Watched::Look::later, EPOLL_CTL_ADD);
-    guests_[number] = Guest{std::move(connection), Time::max()};
-    look_at(number, false);
+    guests_[++last_].connection = std::move(connection);
+    look_at(last_, false);
   }
 }
 
 void Poller::leave(std::uint64_t number) {
   const auto it = guests_.find(number);
   due_.erase({it->second.due, number});
-  ::epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, it->second.connection->descriptor(), nullptr);
+  if (it->second.watched)
+    ::epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, it->second.connection->descriptor(), nullptr);
   guests_.erase(it);
 }
 
@@ -96,9 +98,10 @@
     leave(number);
     return look == Watched::Look::ended ? connection->end() : void();
   }
+  if (look != Watched::Look::later) watch(number, guest, look);
   guest.due = connection->due();
+  if (look != Watched::Look::later && !guest.watched) guest.due = std::min(guest.due, now() + kLookAgain);
   if (guest.due != Time::max()) due_.emplace(guest.due, number);
-  if (look != Watched::Look::later) watch(*connection, look, EPOLL_CTL_MOD);
 }
 
 void Poller::run() {
--- a/src/net/poller.h
+++ b/src/net/poller.h
@@ -1,11 +1,11 @@
 // Reads many connections on one thread.
 //
 // It waits on all of them together, so that a crowd of connections costs descriptors and bytes, but no
-// threads, and their reading gets one thread's part of the processor, however many there are. Two stand in
-// the program: the lobby of clients that do not deserve a reader of their own, and the dock of all
-// connections to engines. Guards the core, and the machine: see docs/design/door.md for what a thread costs
-// on a platform that stops the process, and docs/design/fleet.md for a machine that holds hundreds of
-// managers and runs out of threads.
+// threads, and their reading gets one thread's part of the processor, however many there are. Three stand in
+// the program: the lobby of clients that do not deserve a reader of their own, the dock of all connections to
+// engines, and the one that writes to peers that are slow to read (sender.h). Guards the core, and the
+// machine: see docs/design/door.md for what a thread costs on a platform that stops the process, and
+// docs/design/fleet.md for a machine that holds hundreds of managers and runs out of threads.
 //
 // A connection that it looks at must not make it wait. It holds those that it waits on; memory: one entry a
 // connection, which the places for clients and the bound on links bound.
@@ -30,7 +30,6 @@
   // never here, as something else reads it from now on.
   enum class Look { again, writable, later, ended, taken };
   virtual ~Watched() = default;
-  virtual std::uint64_t number() const = 0;  // its own among those of one poller, for good
   virtual int descriptor() const = 0;
   // Handles what has come, without waiting. `asked`: something has come, or it can be written now; else it is
   // new here, or due.
@@ -51,11 +50,12 @@
   struct Guest {
     std::shared_ptr<Watched> connection;
     Time due = Time::max();
+    bool watched = false;  // the system names it when something comes
   };
   void run();
   void take_in();
   void look_at(std::uint64_t number, bool asked);
-  void watch(const Watched& connection, Watched::Look look, int operation);
+  void watch(std::uint64_t number, Guest& guest, Watched::Look look);
   void leave(std::uint64_t number);
   void wake();
 
@@ -63,7 +63,8 @@
   std::mutex mutex_;
   std::vector<std::weak_ptr<Watched>> coming_;  // guarded
   bool over_ = false;                           // guarded
-  // The poller's thread only.
+  // The poller's thread only. Numbers are given once, so that what is named late is taken for no other.
+  std::uint64_t last_ = 0;
   std::map<std::uint64_t, Guest> guests_;
   std::set<std::pair<Time, std::uint64_t>> due_;
   Thread thread_;  // last: it uses the rest
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -26,8 +26,8 @@
 constexpr std::size_t kBudgetShare = 4;                  // a quarter of the memory for statements and results
 constexpr Duration kDescriptorPause = milliseconds(10);  // when none is free
 constexpr Duration kSlowTurn = milliseconds(40);
-// For answers that are queued when all is over. Guards them against writers that do not run for a moment: a
-// part of a core is shared by all. Still before the kill, 3.7 s after the word to leave.
+// For answers that are queued when all is over. Guards them against a writer that does not run for a moment:
+// a part of a core is shared by all. Still before the kill, 3.7 s after the word to leave.
 constexpr Duration kLastWrites = milliseconds(600);
 
 // Whose message it is, if a client's.
@@ -137,7 +137,8 @@
       inbox_(kInboxEvents),
       dock_("dock"),
       lobby_("lobby"),
-      readers_{manager::Budget(kMostReaders), lobby_},
+      writer_("writer"),
+      readers_{manager::Budget(kMostReaders), lobby_, writer_},
       manager_(config, now(), from_unix_ms, budget_, *this, *this, log) {
   last_event_ = config.known_number;
   follow(config.feed);
@@ -280,7 +281,7 @@
 
 void Server::open(manager::LinkId link, const config::Endpoint& endpoint, Time deadline) {
   const auto opened =
-      std::make_shared<EngineLink>(link, endpoint, deadline, config_.real.report_fields, inbox_);
+      std::make_shared<EngineLink>(link, endpoint, deadline, config_.real.report_fields, inbox_, writer_);
   links_.emplace(link, opened);
   dock_.admit(opened);
 }
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -101,7 +101,8 @@
   manager::Log& log_;
   manager::Budget budget_, slots_;  // bytes; client connections
   Inbox inbox_;
-  Poller dock_, lobby_;  // before all that holds connections: they are read there; engines, clients
+  // Before all that holds connections: engines and clients are read there, slow ones of both written to.
+  Poller dock_, lobby_, writer_;
   Readers readers_;
   Undertaker undertaker_;
   std::map<manager::SessionId, std::shared_ptr<ClientSession>> sessions_;  // the core's thread only
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -92,13 +92,17 @@
   return error == 0;
 }
 
-bool Socket::wait_until(Time deadline) {
+// What ended and what is only silent is told apart by the kernel's word alone, never by the clock: a bounded
+// wait that ends before the deadline it was set for is no end of the connection.
+Socket::Waited Socket::wait_until(Time deadline) {
   char first = 0;
-  return receive(&first, 1, deadline, MSG_PEEK) > 0;
+  const auto got = receive(&first, 1, deadline, MSG_PEEK);
+  if (got > 0) return Waited::something;
+  return got < 0 && errno == EAGAIN ? Waited::nothing : Waited::ended;
 }
 
 std::size_t Socket::read_until(char* into, std::size_t size, Time deadline) {
-  return receive(into, size, deadline, 0);
+  return static_cast<std::size_t>(std::max<std::ptrdiff_t>(0, receive(into, size, deadline, 0)));
 }
 
 std::optional<std::size_t> Socket::read_now(char* into, std::size_t size) {
@@ -125,7 +129,7 @@
   return done;
 }
 
-std::size_t Socket::receive(char* into, std::size_t size, Time deadline, int flags) {
+std::ptrdiff_t Socket::receive(char* into, std::size_t size, Time deadline, int flags) {
   if (deadline == Time::max() && std::exchange(bounded_, false)) {
     const timeval forever{0, 0};
     setsockopt(fd_.get(), SOL_SOCKET, SO_RCVTIMEO, &forever, sizeof forever);
@@ -136,7 +140,7 @@
     if (deadline != Time::max()) bound_by(fd_.get(), SO_RCVTIMEO, deadline), bounded_ = true;
     got = ::recv(fd_.get(), into, size, flags);
   } while (got < 0 && errno == EINTR);
-  return got > 0 ? static_cast<std::size_t>(got) : 0;
+  return got;
 }
 
 Socket::Written Socket::write(std::string_view bytes) {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -41,7 +41,10 @@
   enum class Begun { up, pending, failed };
   Begun begin_connect(const config::Endpoint& endpoint, std::string* why);
   bool finish_connect(std::string* why);
-  bool wait_until(Time deadline);  // until there is something to read; it stays in the socket
+  // Waits until there is something to read; it stays in the socket. `nothing`: none came, and the connection
+  // stands; it may be told a moment before `deadline`, as some kernels end a bounded wait early.
+  enum class Waited { something, nothing, ended };
+  Waited wait_until(Time deadline);
   // The bytes that came; 0: the end, or broken off, or nothing came by `deadline`.
   std::size_t read_until(char* into, std::size_t size, Time deadline);
   // The same without waiting: what lies in the socket; 0: the end, or broken off; nullopt: nothing yet.
@@ -72,7 +75,8 @@
   bool open_new(int type);
   bool unread() const;
   void broken_off();
-  std::size_t receive(char* into, std::size_t size, Time deadline, int flags);
+  // As recv() tells it: below 0 with errno, EAGAIN where nothing came by `deadline`.
+  std::ptrdiff_t receive(char* into, std::size_t size, Time deadline, int flags);
 
   std::mutex mutex_;
   Fd fd_;
--- a/tests/node/helper.h
+++ b/tests/node/helper.h
@@ -72,6 +72,7 @@
   };
   struct Reply {
     std::string kind, rows;
+    Time at{};
   };
 
   explicit Core(const config::Config& c)
@@ -134,16 +135,16 @@
   }
 
   void serve(manager::SessionId s, manager::CallId c, manager::Result r) override {
-    replies[{s, c}].push_back({"served", r.rows});
+    replies[{s, c}].push_back({"served", r.rows, now});
   }
   void refuse(manager::SessionId s, manager::CallId c, Duration) override {
-    replies[{s, c}].push_back({"refused", ""});
+    replies[{s, c}].push_back({"refused", "", now});
   }
   void fail(manager::SessionId s, manager::CallId c, std::string_view) override {
-    replies[{s, c}].push_back({"failed", ""});
+    replies[{s, c}].push_back({"failed", "", now});
   }
   void answer_probe(manager::SessionId s, manager::CallId c, bool able) override {
-    replies[{s, c}].push_back({able ? "able" : "leaving", ""});
+    replies[{s, c}].push_back({able ? "able" : "leaving", "", now});
   }
   void close(manager::SessionId s) override {
     said.push_back("close " + std::to_string(static_cast<int>(s)));
--- a/tests/node/net_test.cpp
+++ b/tests/node/net_test.cpp
@@ -1,11 +1,18 @@
 // The drivers on loopback: everything waits for what must come, nothing for a time.
+#include <dlfcn.h>
 #include <doctest/doctest.h>
+#include <poll.h>
+#include <pthread.h>
 #include <signal.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <sys/syscall.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
+#include <cerrno>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
@@ -23,6 +30,52 @@
   return static_cast<int>(::syscall(SYS_shutdown, fd, how));
 }
 
+// The system's own function of this name.
+template <class Call>
+Call* system_call(const char* name) {
+  return reinterpret_cast<Call*>(::dlsym(RTLD_NEXT, name));
+}
+
+// And one that is short of threads, descriptors and room to watch them: of so many starts in a hundred none
+// comes about, but for threads of the test's own.
+std::atomic<std::uint32_t> short_of_all{0};
+thread_local bool spared = false;
+bool falls_short() {
+  static std::atomic<std::uint32_t> draws{0};
+  return !spared && (draws++ * 2654435761u >> 8) % 100 < short_of_all;
+}
+extern "C" int pthread_create(pthread_t* thread, const pthread_attr_t* attributes, void* (*body)(void*),
+                              void* argument) {
+  static const auto real = system_call<decltype(pthread_create)>("pthread_create");
+  return falls_short() ? EAGAIN : real(thread, attributes, body, argument);
+}
+extern "C" int socket(int domain, int type, int protocol) noexcept {
+  static const auto real = system_call<int(int, int, int)>("socket");
+  return falls_short() ? (errno = EMFILE, -1) : real(domain, type, protocol);
+}
+extern "C" int accept4(int fd, sockaddr* from, socklen_t* size, int flags) {
+  static const auto real = system_call<int(int, sockaddr*, socklen_t*, int)>("accept4");
+  return falls_short() ? (errno = EMFILE, -1) : real(fd, from, size, flags);
+}
+extern "C" int epoll_ctl(int epoll, int operation, int fd, epoll_event* event) noexcept {
+  static const auto real = system_call<int(int, int, int, epoll_event*)>("epoll_ctl");
+  const bool none = operation == EPOLL_CTL_ADD && falls_short();
+  return none ? (errno = ENOSPC, -1) : real(epoll, operation, fd, event);
+}
+
+// And one whose bounded waits end before their time, while this is set.
+std::atomic<bool> waits_end_early{false};
+extern "C" ssize_t recv(int fd, void* into, size_t size, int flags) {
+  static const auto real = system_call<ssize_t(int, void*, size_t, int)>("recv");
+  timeval bound{};
+  socklen_t length = sizeof bound;
+  const bool bounded = (flags & MSG_PEEK) != 0 &&
+                       ::getsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &bound, &length) == 0 &&
+                       (bound.tv_sec > 0 || bound.tv_usec > 0);
+  if (waits_end_early && bounded) return errno = EAGAIN, -1;
+  return real(fd, into, size, flags);
+}
+
 namespace yokestream::test {
 namespace {
 
@@ -105,8 +158,8 @@
   CHECK(client.until("no text"));
 }
 
-TEST_CASE(
-    "a client served twice gets a reader of its own, and is served on after that and once it was idle") {
+// Five requests of one client, each with the answer of an engine.
+void serve_five() {
   Listening engine;
   Running running(engine.at);
   Peer client(running.server->endpoint());
@@ -118,10 +171,22 @@
     REQUIRE(link->until("select " + std::to_string(number)));
     link->say("*4\r\n$16\r\n" + id + "\r\n$6\r\nserved\r\n$7\r\ntotal=1\r\n$6\r\na\tb\t" +
               std::to_string(number) + "\n\r\n");
-    CHECK(client.until("a\tb\t" + std::to_string(number)));
+    REQUIRE(client.until("a\tb\t" + std::to_string(number)));
   }
 }
 
+TEST_CASE(
+    "a client served twice gets a reader of its own, and is served on after that and once it was idle") {
+  serve_five();
+}
+
+// Its reader took the end of such a wait for the end of the connection, and closed it on its open requests.
+TEST_CASE("a bounded wait that the kernel ends before its time ends no connection") {
+  waits_end_early = true;
+  serve_five();
+  waits_end_early = false;
+}
+
 auto threads() { return std::distance(std::filesystem::directory_iterator("/proc/self/task"), {}); }
 
 TEST_CASE("a crowd of silent clients costs no thread, and a usual client is served beside it") {
@@ -156,9 +221,20 @@
   running.server->wait();
 }
 
+// A connected pair; what one end writes the other reads only when it is told to.
+struct Pair {
+  Pair() : peer(listening.at), socket(Fd(::accept(listening.fd.get(), nullptr, nullptr))) {
+    const int small = 4096;
+    setsockopt(socket.descriptor(), SOL_SOCKET, SO_SNDBUF, &small, sizeof small);
+  }
+  Listening listening;
+  Peer peer;
+  net::Socket socket;
+};
+
 // What a client session stands in, without a server: who takes its messages, and who would read it.
 struct Reading {
-  explicit Reading(std::size_t most_readers) : readers{manager::Budget(most_readers), lobby} {}
+  explicit Reading(std::size_t most_readers) : readers{manager::Budget(most_readers), lobby, writer} {}
   std::shared_ptr<net::ClientSession> session(Fd fd) {
     return std::make_shared<net::ClientSession>(manager::SessionId{1}, std::move(fd), manager::Reservation{},
                                                 config.real, budget, inbox, readers, log);
@@ -167,7 +243,7 @@
   Quiet log;
   net::Inbox inbox{200};
   manager::Budget budget{1 << 20};
-  net::Poller lobby{"lobby"};
+  net::Poller lobby{"lobby"}, writer{"writer"};
   net::Readers readers;
 };
 
@@ -196,12 +272,12 @@
   Listening engine, gone;
   net::Inbox inbox(200);
   const std::vector<std::string> fields;
-  net::Poller dock("dock");
+  net::Poller dock("dock"), writer("writer");
   const auto before = threads();
   std::vector<std::shared_ptr<net::EngineLink>> links;
   const auto open = [&](const config::Endpoint& at) {
     const manager::LinkId id{static_cast<std::uint64_t>(links.size())};
-    links.push_back(std::make_shared<net::EngineLink>(id, at, Time::max(), fields, inbox));
+    links.push_back(std::make_shared<net::EngineLink>(id, at, Time::max(), fields, inbox, writer));
     dock.admit(links.back());
   };
   std::vector<std::unique_ptr<Peer>> ends;
@@ -259,6 +335,29 @@
   CHECK((session->look(session->due(), false) == net::Watched::Look::ended));
 }
 
+// Its connection was closed upon what it had open.
+TEST_CASE("a client for whose next message there is no memory is read on when there is some") {
+  Reading reading(1);
+  Pair pair;
+  const auto session = reading.session(Fd(::dup(pair.socket.descriptor())));
+  const auto read = [&] {  // the first byte has come, and with it all that was written at once
+    char first = 0;
+    REQUIRE(::recv(pair.socket.descriptor(), &first, 1, MSG_PEEK) == 1);
+    return session->look(net::now(), true);
+  };
+  manager::Reservation rest;
+  REQUIRE(reading.budget.take(rest, (1 << 20) - 10));
+  const std::string bytes = call(1, "0123456789abcdef", "select 1");
+  pair.peer.say(bytes.substr(0, 20));
+  CHECK((read() == net::Watched::Look::later));
+  CHECK((session->due() != Time::max()));
+  rest = {};
+  CHECK((session->look(session->due(), false) == net::Watched::Look::again));
+  pair.peer.say(bytes.substr(20));
+  CHECK((read() == net::Watched::Look::again));
+  CHECK(reading.inbox.take_until(Time::max()).size() == 1);
+}
+
 TEST_CASE("what comes on a connection that is broken off is not read") {
   Listening listening;
   Peer client(listening.at);
@@ -337,15 +436,12 @@
   CHECK((pace.next_at(start + 10ms) == start + 20ms));
 }
 
-// A connected pair; what one end writes the other reads only when it is told to.
-struct Pair {
-  Pair() : peer(listening.at), socket(Fd(::accept(listening.fd.get(), nullptr, nullptr))) {
-    const int small = 4096;
-    setsockopt(socket.descriptor(), SOL_SOCKET, SO_SNDBUF, &small, sizeof small);
-  }
-  Listening listening;
-  Peer peer;
-  net::Socket socket;
+// A sender whose peer a poller of its own writes to while it is slow.
+struct Sending {
+  explicit Sending(std::size_t bound);
+  Pair pair;
+  net::Poller writer{"writer"};
+  std::shared_ptr<net::Sender<struct Written>> sender;
 };
 
 struct Written {  // an item of a sender: a text that stands `times` times
@@ -358,9 +454,14 @@
   return out;
 }
 
+Sending::Sending(std::size_t bound)
+    : sender(std::make_shared<net::Sender<Written>>(bound, pair.socket, word,
+                                                    [this] { writer.admit(sender); })) {}
+
 TEST_CASE("a request that the socket did not take is found again as never sent") {
-  Pair pair;
-  net::Sender<Written> sender("test", 1000, pair.socket, word);
+  Sending sending(1000);
+  Pair& pair = sending.pair;
+  auto& sender = *sending.sender;
   const auto is = [](int n) { return [n](const Written& i) { return i.number == n; }; };
   CHECK(sender.add({1}, 10));  // not up yet
   CHECK(sender.withdraw(is(1)));
@@ -378,8 +479,9 @@
 
 // Found on the bench: the link was reset between its opening and the first write, and the loop held the lock.
 TEST_CASE("a connection that breaks before what waits has left gives it back and holds nobody up") {
-  Pair pair;
-  net::Sender<Written> sender("test", 1000, pair.socket, word);
+  Sending sending(1000);
+  Pair& pair = sending.pair;
+  auto& sender = *sending.sender;
   CHECK(sender.add({1}, 10));
   CHECK(sender.add({2}, 10));
   pair.socket.break_off();
@@ -389,8 +491,9 @@
 
 TEST_CASE(
     "who adds never waits for a slow peer, all leaves in order, and over the bound the sender refuses") {
-  Pair pair;
-  net::Sender<Written> sender("test", 2000, pair.socket, word);
+  Sending sending(2000);
+  Pair& pair = sending.pair;
+  auto& sender = *sending.sender;
   sender.open();
   CHECK(sender.idle());
   const std::size_t large = 200'000;  // more than any socket takes
@@ -403,5 +506,201 @@
   CHECK_FALSE(pair.peer.until("<4>"));  // and the connection ends
 }
 
+// An engine that answers, refuses, breaks off or reads nothing for a while, at random. One thread of the
+// test's own.
+class Fickle {
+ public:
+  explicit Fickle(std::uint32_t seed) : steps_(seed), over_(::eventfd(0, EFD_CLOEXEC)) {
+    thread_ = net::Thread("fickle", net::kLargeStack, [this] { run(); });
+  }
+  ~Fickle() {
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const auto written = ::write(over_.get(), &one, sizeof one);
+  }
+  config::Endpoint at() const { return listening_.at; }
+
+ private:
+  void run() {
+    spared = true;
+    while (true) {
+      std::vector<pollfd> all = {{over_.get(), POLLIN, 0}, {listening_.fd.get(), POLLIN, 0}};
+      for (const auto& peer : peers_) all.push_back({peer->socket.descriptor(), POLLIN, 0});
+      ::poll(all.data(), all.size(), -1);
+      if (all[0].revents) return;
+      for (std::size_t i = peers_.size(); i-- > 0;) {
+        if (all[i + 2].revents && !read(*peers_[i])) peers_.erase(peers_.begin() + static_cast<long>(i));
+      }
+      if (all[1].revents) peers_.emplace_back(new Peer(listening_.accept()));
+    }
+  }
+  // Whole commands, each a line of its parts; false: the connection goes.
+  bool read(Peer& peer) {
+    char bytes[4096];
+    const auto size = peer.socket.read_now(bytes, sizeof bytes);
+    if (size == 0) return false;
+    peer.came.append(bytes, size.value_or(0));
+    while (true) {
+      std::size_t at = 0;
+      const auto number = [&]() -> std::optional<std::size_t> {
+        const auto end = peer.came.find("\r\n", at);
+        if (end == std::string::npos) return std::nullopt;
+        const auto n = std::stoul(peer.came.substr(at + 1));
+        at = end + 2;
+        return n;
+      };
+      const auto count = number();
+      std::vector<std::string> parts;
+      while (count && parts.size() < *count) {
+        const auto length = number();
+        if (!length || peer.came.size() < at + *length + 2) return true;
+        parts.push_back(peer.came.substr(at, *length));
+        at += *length + 2;
+      }
+      if (!count) return true;
+      peer.came.erase(0, at);
+      if (!answer(peer, parts)) return false;
+    }
+  }
+  bool answer(Peer& peer, const std::vector<std::string>& parts) {
+    const auto say = [&](const char* word, const std::string& fields, const std::string& body) {
+      std::string out = "*4\r\n";
+      for (const std::string& part : {parts[1], std::string(word), fields, body})
+        out += "$" + std::to_string(part.size()) + "\r\n" + part + "\r\n";
+      return peer.socket.write(out) == Socket::Written::all;
+    };
+    if (parts[0] == "HELO") return say("green", "-", "-");
+    if (parts[0] == "FETCH") return say("rows", "index=" + parts[2], "a\tb\t" + parts[1] + "\n");
+    if (parts[0] != "REQ") return true;
+    const auto what = steps_.below(20);
+    if (what == 0) return false;
+    if (what == 1) return say("crashed", "-", "-");
+    if (what <= 3) return say("overload", "-", "-");
+    return say("served", what == 4 ? "total=3" : "total=1", "a\tb\t" + parts[1] + "\n");
+  }
+
+  Steps steps_;
+  Listening listening_;
+  Fd over_;
+  std::vector<std::unique_ptr<Peer>> peers_;
+  net::Thread thread_;  // last: it uses the rest
+};
+
+// A client with some requests open. Knows of the answers what it takes to tell them apart.
+struct Asking : Peer {
+  using Peer::Peer;
+  // The size of the value at `at`, as far as answers hold any; 0: not whole.
+  std::size_t value(std::size_t at) const {
+    const auto left = came.size() - std::min(at, came.size());
+    const auto byte = [&](std::size_t i) { return static_cast<std::uint8_t>(came[at + i]); };
+    if (left == 0) return 0;
+    const auto sized = [&](std::size_t head, std::size_t n) { return left < head + n ? 0 : head + n; };
+    const auto wide = [&](std::size_t width) {
+      std::size_t n = 0;
+      for (std::size_t i = 1; i <= width; ++i) n = n << 8 | byte(i);
+      return n;
+    };
+    const auto values = [&](std::size_t head, std::size_t n) {
+      std::size_t size = head;
+      for (; n > 0; --n) {
+        const auto next = value(at + size);
+        if (next == 0) return std::size_t{0};
+        size += next;
+      }
+      return size;
+    };
+    const auto first = byte(0);
+    if (first < 0x80 || first == 0xc0) return 1;
+    if (first < 0xa0) return values(1, first & 0x0f);
+    if (first < 0xc0) return sized(1, first & 0x1f);
+    if (first == 0xce) return sized(5, 0);
+    if (first == 0xde) return left < 3 ? 0 : values(3, 2 * wide(2));
+    if (left < 5) return 0;
+    CHECK((first == 0xc6 || first == 0xdb));
+    return sized(5, wide(4));
+  }
+  void ask(const std::string& id, std::size_t size) {
+    const int number = ++last;
+    open.insert(number);
+    const std::string statement = "select '" + std::string(size, 'x') + "'";
+    std::string bytes = call(number, id, "");
+    bytes.resize(bytes.size() - 2);
+    say(bytes + '\xc5' + static_cast<char>(statement.size() >> 8) +
+        static_cast<char>(statement.size() & 255) + statement);
+  }
+  // Waits for the next answer; false: the connection has ended without one.
+  bool hear() {
+    char bytes[4096];
+    for (std::size_t size = value(0); size == 0; size = value(0)) {
+      const auto got = socket.read_until(bytes, sizeof bytes, Time::max());
+      if (got == 0) return false;
+      came.append(bytes, got);
+    }
+    CHECK(came[0] == '\x94');
+    CHECK(came[1] == '\x01');
+    CHECK(open.erase(static_cast<std::uint8_t>(came[2])) == 1);  // one answer each, and to nothing else
+    came.erase(0, value(0));
+    return true;
+  }
+  int last = 0;
+  std::set<int> open;
+};
+
+// Requests are taken, connections and engines' connections come and go, and of all that the system is asked
+// to start a part fails. Found by reading: a connection that could not be watched, or a slow one for whom no
+// writer could be had, lost its answers.
+TEST_CASE("each request taken has one whole answer, whatever the system has no room for") {
+  spared = true;
+  for (std::uint32_t seed = 1; seed <= 8; ++seed) {
+    CAPTURE(seed);
+    Steps steps(seed);
+    Fickle engine(seed);
+    Running running(engine.at());
+    short_of_all = 10 * (seed % 4);
+    std::vector<std::unique_ptr<Asking>> clients;
+    std::uint32_t asked = 0;
+    const auto ask = [&](Asking& client) {
+      char id[17];
+      std::snprintf(id, sizeof id, "%08x%08x", seed, ++asked);
+      client.ask(id, steps.below(3000));
+    };
+    for (int i = 0; i < 400; ++i) {
+      const auto step = steps.below(10);
+      if (clients.empty() || (step == 0 && clients.size() < 12)) {
+        clients.push_back(std::make_unique<Asking>(running.server->endpoint()));
+        ask(*clients.back());
+      }
+      const auto which = steps.below(clients.size());
+      Asking& client = *clients[which];
+      if (step < 6 && client.last < 100) {
+        ask(client);
+      } else if (step < 9) {
+        if (!client.open.empty()) REQUIRE(client.hear());
+      } else if (steps.below(3) == 0) {  // it leaves, whatever is open
+        clients.erase(clients.begin() + static_cast<long>(which));
+      }
+    }
+    for (const auto& client : clients) {
+      while (!client->open.empty()) REQUIRE(client->hear());
+    }
+    short_of_all = 0;
+  }
+  spared = false;
+}
+
+// A writer thread of its own was started for it, and where none could be had the connection was closed.
+TEST_CASE("a client that is slow to read gets all its answers though no thread can be had") {
+  spared = false;
+  Reading reading(0);
+  Pair pair;
+  const auto session = reading.session(Fd(::dup(pair.socket.descriptor())));
+  short_of_all = 100;
+  for (manager::CallId call = 1; call <= 40; ++call)
+    session->serve(call, {std::string(40'000, static_cast<char>('0' + call)), {}});
+  short_of_all = 0;
+  CHECK_FALSE(session->break_off_idle());
+  for (char call = 1; call <= 40; ++call)
+    CHECK(pair.peer.until(std::string(40'000, static_cast<char>('0' + call))));
+}
+
 }  // namespace
 }  // namespace yokestream::test
