--- a/src/config/config.h
+++ b/src/config/config.h
@@ -22,7 +22,7 @@
   std::size_t links() const { return std::min(sockets / 3, memory_mb * 3); }
   std::size_t sessions() const { return std::min(sockets - links() - kOtherDescriptors, memory_mb * 6); }
 
-  static constexpr std::size_t kOtherDescriptors = 16;  // the listener, the feed, files
+  static constexpr std::size_t kOtherDescriptors = 18;  // the listener, the feed, the pollers, files
 };
 
 struct Config {
