Let the price fall only as far as outcomes came, so that old strain refuses nobody

Cause: set_price() in policy.cpp lowers the price by strain and by time, and a manager of many hears one or two outcomes a second: strain at 0.45, little over the aim of 0.3, stays, and the price runs down to its least. Change: it falls only as far as outcomes came while it falls, 0.05 s each; at 20 a second and more nothing changes.

Price.DoesNotGoOnFallingWhereNothingIsHeard fails without the change (tried: the query is refused).

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -29,6 +29,7 @@
 constexpr double kStrainMost = 2.0;    // no outcome counts for more
 constexpr double kStrainAim = 0.3;     // strain (log of slowdown over best) that the price steers to
 constexpr double kPriceRate = 3.0;     // change of the log price, a second and unit of strain
+constexpr double kPriceHeard = 0.05;   // seconds by which one outcome may lower it
 constexpr double kDearestFade = 0.01;  // by which the dearest query seen is forgotten, a second
 constexpr double kFewOutcomes = 6;     // recent outcomes at which an engine's own slowdown counts half
 constexpr double kSlowFade = 10;       // seconds after which they count a third
@@ -143,6 +144,7 @@
   double price = 1e9;     // log of the most seconds of work for one unit of worth that are admitted
   double dearest = -1e9;  // the most that was asked lately
   Time priced = Time::min();
+  double heard = 0;         // seconds of lowering the price that outcomes speak for
   double mean_density = 0;  // worth per second of work, as it arrives
 
   double draw() { return next_uniform(random); }
@@ -256,6 +258,7 @@
       c.best += kBestRise * (c.level - c.best);
     const double over = std::min(level - c.best, kStrainMost);
     strain += kStrainStep * (over - strain);
+    heard = std::min(1.0, heard + kPriceHeard);
     e.slow_count = recent(e) + 1;
     e.slow_at = now;
     e.slow += std::max(kSlowStep, 1 / e.slow_count) * (over - e.slow);
@@ -969,13 +972,17 @@
   // Danger: more work is asked for than the engines can do, for long (a mix turned heavy, engines lost), and
   // no bound on own threads tells which to refuse. A price on work for worth, raised while all engines
   // together answer slower than the aim, refuses the dearest first; it starts at the dearest seen, refusing
-  // none.
+  // none. Danger: a front of many hears little, and its strain is old news while the price goes on falling:
+  // all fronts then refuse for what a few answers said seconds ago. So it falls only as far as outcomes came.
   void set_price() {
     const double dt = priced == Time::min() ? 0 : std::min(1.0, seconds(now - priced));
     priced = now;
     dearest -= kDearestFade * dt;
     strain *= std::exp(-dt / kStrainFade);
-    price = std::clamp(price - kPriceRate * (strain - kStrainAim) * dt, dearest - kPriceLeast, dearest);
+    const double over = strain - kStrainAim;
+    const double told = over > 0 ? std::min(dt, heard) : dt;
+    heard = over > 0 ? heard - told : 0;
+    price = std::clamp(price - kPriceRate * over * told, dearest - kPriceLeast, dearest);
   }
   double dearness(const Query& q) const {
     return -std::log(density(q) * (q.over_share ? std::max(0.01, s.over_share_worth) : 1));
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -549,6 +549,26 @@
   EXPECT_EQ(f.refused[cheap], 0);
 }
 
+TEST(Price, DoesNotGoOnFallingWhereNothingIsHeard) {
+  auto s = make_settings({make_class(20s, 40s)});
+  s.kinds = {{64, 0}};
+  Front f(s, {engine("a")});
+  std::uint64_t id = 1;
+  const auto served = [&](int n, Duration took) {
+    for (int i = 0; i < n; ++i) {
+      ++id;
+      const auto q = f.arrive(id, 40s, id % 10 ? 100ms : 1s);
+      f.pass(10ms);
+      ASSERT_EQ(f.tries(q), 1u);
+      f.end(q, Outcome::served, id % 10 ? took : 10 * took);
+    }
+  };
+  served(60, 100ms);
+  served(8, 500ms);  // five times slower, and then nothing for a while
+  f.pass(4s);
+  EXPECT_EQ(f.refused[f.arrive(++id, 40s, 300ms)], 0);
+}
+
 TEST(Stall, AfterAGapNothingIsSentBeforeTheBacklogIsRead) {
   auto s = make_settings();
   s.note_every = 500ms;
