Close connections to engines where they are; share the set-up of two pairs of tests

Since slow peers have one writer, a connection to an engine has no thread to join: the undertaker took it for nothing, and its descriptor waited for that thread. The core breaks it off and lets go; the dock may hold it until its next look.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -59,11 +59,6 @@
   session->break_off("its session has ended");
   dead_.add(std::move(session), 0);
 }
-void Undertaker::bury(std::shared_ptr<EngineLink> link) {
-  link->break_off();
-  dead_.add(std::move(link), 0);
-}
-
 void Undertaker::bury(std::unique_ptr<Listener> listener) { dead_.add(std::move(listener), 0); }
 
 Listener::Listener(const config::Config& config, manager::Budget& slots, manager::Budget& budget,
@@ -308,7 +303,7 @@
   if (auto* l = find(link)) l->say(protocol::encode_end(id));
 }
 void Server::close(manager::LinkId link) {
-  if (auto closed = links_.extract(link)) undertaker_.bury(std::move(closed.mapped()));
+  if (auto closed = links_.extract(link)) closed.mapped()->break_off();  // the dock may hold it still
 }
 
 }  // namespace yokestream::net
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -18,19 +18,17 @@
 
 class Listener;
 
-// Destroys connections and the listener, which joins their threads, on a thread of its own: the core never
-// waits for one.
+// Destroys client connections and the listener, which joins their threads, on a thread of its own: the core
+// never waits for one.
 class Undertaker {
  public:
   Undertaker();
   ~Undertaker();
   void bury(std::shared_ptr<ClientSession> session);
-  void bury(std::shared_ptr<EngineLink> link);
   void bury(std::unique_ptr<Listener> listener);
 
  private:
-  using Dead =
-      std::variant<std::shared_ptr<ClientSession>, std::shared_ptr<EngineLink>, std::unique_ptr<Listener>>;
+  using Dead = std::variant<std::shared_ptr<ClientSession>, std::unique_ptr<Listener>>;
   Outbox<Dead> dead_;
   Thread thread_;
 };
--- a/tests/node/net_test.cpp
+++ b/tests/node/net_test.cpp
@@ -145,13 +145,19 @@
   std::optional<net::Server> server;
 };
 
-TEST_CASE("a request goes to the engine and its rows come back; one the engines can't use does not") {
+// One request of one client is out at the engine.
+struct OneOut {
+  OneOut() : link((client.say(call(1, "0123456789abcdef", "select 1")), engine.accept())) {
+    REQUIRE(link.until("select 1"));
+  }
   Listening engine;
-  Running running(engine.at);
-  Peer client(running.server->endpoint());
-  client.say(call(1, "0123456789abcdef", "select 1"));
-  Peer link = engine.accept();
-  REQUIRE(link.until("select 1"));
+  Running running{engine.at};
+  Peer client{running.server->endpoint()};
+  Peer link;
+};
+
+TEST_CASE_FIXTURE(OneOut,
+                  "a request goes to the engine and its rows come back; one the engines can't use does not") {
   link.say("*4\r\n$16\r\n0123456789abcdef\r\n$6\r\nserved\r\n$7\r\ntotal=1\r\n$6\r\na\tb\tc\n\r\n");
   CHECK(client.until("a\tb\tc\n"));
   client.say(call(2, "0123456789abcde0", std::string("select\0", 7)));
@@ -209,13 +215,8 @@
 }
 
 // Found on the bench: the core waited for the listener's thread, and what was open found no answer.
-TEST_CASE("a manager told to end answers what is open and ends, though nobody comes any more") {
-  Listening engine;
-  Running running(engine.at);
-  Peer client(running.server->endpoint());
-  client.say(call(1, "0123456789abcdef", "select 1"));
-  Peer link = engine.accept();
-  REQUIRE(link.until("select 1"));
+TEST_CASE_FIXTURE(OneOut,
+                  "a manager told to end answers what is open and ends, though nobody comes any more") {
   running.server->leave();
   CHECK(client.until("Shed"));
   running.server->wait();
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -528,45 +528,47 @@
   EXPECT_EQ(f.sends[big].front(), peer.sends[on_one].front());
 }
 
-TEST(Price, LastingStrainRefusesTheDearestFirst) {
-  auto s = make_settings({make_class(20s, 40s)});
-  s.kinds = {{64, 0}};
-  Front f(s, {engine("a")});
-  std::uint64_t id = 1;
-  const auto day = [&](int n, Duration took) {
+// A front with one large engine, and queries of which each tenth is ten times as dear.
+struct Priced {
+  static Settings settings() {
+    auto s = make_settings({make_class(20s, 40s)});
+    s.kinds = {{64, 0}};
+    return s;
+  }
+  // Returns how many were sent; each is served after `took`, or ten times that.
+  int day(int n, Duration between, Duration took) {
+    int sent = 0;
     for (int i = 0; i < n; ++i) {
       ++id;
       const auto q = f.arrive(id, 40s, id % 10 ? 100ms : 1s);
-      f.pass(100ms);
-      if (f.tries(q)) f.end(q, Outcome::served, id % 10 ? took : 10 * took);
+      f.pass(between);
+      if (!f.tries(q)) continue;
+      ++sent;
+      f.end(q, Outcome::served, id % 10 ? took : 10 * took);
     }
-  };
-  day(60, 100ms);
-  EXPECT_EQ(f.refused[f.arrive(++id, 40s, 1s)], 0);
-  day(80, 500ms);  // five times slower, for eight seconds
+    return sent;
+  }
+  Front f{settings(), {engine("a")}};
+  std::uint64_t id = 1;
+};
+
+TEST(Price, LastingStrainRefusesTheDearestFirst) {
+  Priced p;
+  Front& f = p.f;
+  p.day(60, 100ms, 100ms);
+  EXPECT_EQ(f.refused[f.arrive(++p.id, 40s, 1s)], 0);
+  p.day(80, 100ms, 500ms);  // five times slower, for eight seconds
   const auto dear = f.arrive(1000, 40s, 1s), cheap = f.arrive(1001, 40s, 20ms);
   EXPECT_EQ(f.refused[dear], 1);
   EXPECT_EQ(f.refused[cheap], 0);
 }
 
 TEST(Price, DoesNotGoOnFallingWhereNothingIsHeard) {
-  auto s = make_settings({make_class(20s, 40s)});
-  s.kinds = {{64, 0}};
-  Front f(s, {engine("a")});
-  std::uint64_t id = 1;
-  const auto served = [&](int n, Duration took) {
-    for (int i = 0; i < n; ++i) {
-      ++id;
-      const auto q = f.arrive(id, 40s, id % 10 ? 100ms : 1s);
-      f.pass(10ms);
-      ASSERT_EQ(f.tries(q), 1u);
-      f.end(q, Outcome::served, id % 10 ? took : 10 * took);
-    }
-  };
-  served(60, 100ms);
-  served(8, 500ms);  // five times slower, and then nothing for a while
-  f.pass(4s);
-  EXPECT_EQ(f.refused[f.arrive(++id, 40s, 300ms)], 0);
+  Priced p;
+  ASSERT_EQ(p.day(60, 10ms, 100ms), 60);
+  ASSERT_EQ(p.day(8, 10ms, 500ms), 8);  // five times slower, and then nothing for a while
+  p.f.pass(4s);
+  EXPECT_EQ(p.f.refused[p.f.arrive(++p.id, 40s, 300ms)], 0);
 }
 
 TEST(Stall, AfterAGapNothingIsSentBeforeTheBacklogIsRead) {
