Add the operators' door, true figures, drains, and upgrades on an inherited listener

Change: Service (src/manager/service.h) is the one state machine of ready, draining, drained, returning and leaving; Management (src/net/management.h) answers operators on one thread from published values; Figures keeps one registry (prometheus-cpp's core); Together tells by byte locks in TMPDIR who else serves; the listener moved to a file of its own.

--- a/include/lynxstand/admission.h
+++ b/include/lynxstand/admission.h
@@ -258,6 +258,8 @@
   // Takes one event and appends what is to be done to `actions`. `now` must not lie before that of the last
   // call.
   void handle(Time now, const Event& event, std::vector<Action>& actions);
+  // Engines that the list names and that get no query for now: they drain, are shunned, or were full.
+  std::size_t avoided() const;
 
  private:
   struct Impl;
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -1,7 +1,9 @@
 #include <malloc.h>
 #include <pthread.h>
 
+#include <charconv>
 #include <csignal>
+#include <cstdlib>
 #include <memory>
 
 #include "cli/commands.h"
@@ -18,6 +20,26 @@
   mallopt(M_TRIM_THRESHOLD, 1024 * 1024);
 }
 
+std::string environment(const char* name) {
+  const char* value = std::getenv(name);
+  return value ? value : "";
+}
+
+// What the platform tells beside its file.
+void read_environment(config::Config& config) {
+  const std::string management = environment("RELAY_MANAGEMENT"), listener = environment("RELAY_LISTEN_FD");
+  if (!config.management && !management.empty())
+    config.management = config::parse_endpoint("RELAY_MANAGEMENT", management);
+  if (config.management) config.limits.door = net::Management::kDescriptors;
+  if (listener.empty()) return;
+  int fd = -1;
+  const auto [end, error] = std::from_chars(listener.data(), listener.data() + listener.size(), fd);
+  if (error != std::errc() || end != listener.data() + listener.size() || !net::is_listener(fd))
+    throw config::ConfigError("RELAY_LISTEN_FD", "not the number of a listening socket");
+  config.listen_fd = fd;
+  config.shared_folder = environment("TMPDIR");
+}
+
 // A bad new file changes nothing: what was good so far goes on.
 void reload(const Files& files, net::Server& server, Log& log) {
   try {
@@ -37,7 +59,8 @@
   for (const int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&told, signal);
   // Before the files are read, so that no word is missed, and before any thread: all inherit it.
   pthread_sigmask(SIG_BLOCK, &told, nullptr);
-  const auto both = operator_file::read_both(files.config, files.operators);
+  auto both = operator_file::read_both(files.config, files.operators);
+  read_environment(both.config);
   bound_memory();
   Log log(both.operators.log);
   net::Server server(both.config, log);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -99,6 +99,8 @@
   Config config;
   config.name = root["name"].isString() ? root["name"].asString() : "yokestream";
   config.listen = parse_endpoint("listen", required_text(root, "listen"));
+  if (!root["management"].isNull())
+    config.management = parse_endpoint("management", required_text(root, "management"));
   config.seed = seed_of(root);
   const Json::Value& limits = root["limits"];
   if (!limits.isNull() && !limits.isObject()) throw ConfigError("limits", "not an object");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -16,11 +16,14 @@
 struct Limits {
   std::size_t memory_mb = 192;
   std::size_t sockets = 1024;
+  std::size_t door = 0;  // descriptors of the operators' door, where there is one
 
   // How the descriptors are shared out. Usual clients hold a third of them at most; each connection also
   // costs its buffers, some 40 KB.
   std::size_t links() const { return std::min(sockets / 3, memory_mb * 3); }
-  std::size_t sessions() const { return std::min(sockets - links() - kOtherDescriptors, memory_mb * 6); }
+  std::size_t sessions() const {
+    return std::min(sockets - links() - kOtherDescriptors - door, memory_mb * 6);
+  }
 
   static constexpr std::size_t kOtherDescriptors = 18;  // the listener, the feed, the pollers, files
 };
@@ -30,7 +33,10 @@
   Endpoint listen;
   std::uint64_t seed = 0;
   Limits limits;
-  std::optional<Endpoint> feed;  // none: the list of engines never changes
+  std::optional<Endpoint> management;  // the operators' door; none: there is no door
+  std::optional<int> listen_fd;        // the clients' listener, handed down by the platform
+  std::string shared_folder;           // with listen_fd: where processes of this manager find each other
+  std::optional<Endpoint> feed;        // none: the list of engines never changes
   std::uint64_t known_number = 0;
   std::vector<MembersEvent> known;
   lynxstand::Settings settings;
--- /dev/null
+++ b/src/figures/figures.h
@@ -0,0 +1,36 @@
+// What the program counts of itself, for the operators' door.
+//
+// Owns one registry of counters and gauges, and their names on the wire. Every count starts at 0 with the
+// process. Never decides anything, and reads no clock. Any thread may call: a count is one atomic addition;
+// text() takes a lock that no counting takes. Memory: a few hundred bytes a class, fixed at the start.
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace yokestream::figures {
+
+enum class End { served, refused, failed };  // of a request, as its client heard it
+
+class Figures {
+ public:
+  explicit Figures(const std::vector<std::string>& classes);
+  ~Figures();
+
+  void ended(std::size_t cls, End end);      // a request of the class of this position has its final answer
+  void attempt();                            // written whole to an engine
+  void set_in_flight(std::size_t requests);  // taken and not ended
+  void set_engines(std::size_t known, std::size_t excluded);
+
+  // All figures, each on a line of its own: `edge_relay.NAME:VALUE|c` for counts, `|g` for what goes up and
+  // down.
+  std::string text() const;
+
+ private:
+  struct Metrics;
+  std::unique_ptr<Metrics> metrics_;
+};
+
+}  // namespace yokestream::figures
--- a/src/manager/answers.cpp
+++ b/src/manager/answers.cpp
@@ -85,7 +85,7 @@
 void Manager::unusable(QueryId query, Request& request) {
   sessions_.blame(now_, request.told.session);
   close_call(request);
-  fail(request.told.session, request.told.call, "Unusable");
+  fail(request.told, "Unusable");
   end_attempt(query, request, Outcome::cancelled);
 }
 
@@ -145,10 +145,12 @@
 void Manager::serve(QueryId query, Request& request) {
   Attempt& attempt = *request.attempt;
   if (!request.answered) {
-    clients_.serve(request.told.session, request.told.call,
-                   Result{std::move(attempt.end.body), std::move(attempt.held)});
-    sessions_.served(now_, request.told.session);
+    const SessionId session = request.told.session;
+    clients_.serve(session, request.told.call, Result{std::move(attempt.end.body), std::move(attempt.held)});
+    sessions_.served(now_, session);
+    figures_.ended(static_cast<std::size_t>(request.told.cls), figures::End::served);
     close_call(request);
+    after_answer(session, false);
   }
   end_attempt(query, request, Outcome::served);
 }
--- a/src/manager/directory.cpp
+++ b/src/manager/directory.cpp
@@ -96,6 +96,12 @@
   if (!held || holder->second.boot_ms <= member.boot_ms) owner = member.uid;
 }
 
+std::size_t Directory::listed() const {
+  return static_cast<std::size_t>(std::count_if(engines_.begin(), engines_.end(), [](const auto& known) {
+    return known.second.state != lynxstand::EngineState::gone;
+  }));
+}
+
 const EngineRecord* Directory::usable(const std::string& uid) const {
   const auto it = engines_.find(uid);
   if (it == engines_.end() || it->second.state != lynxstand::EngineState::up) return nullptr;
--- a/src/manager/directory.h
+++ b/src/manager/directory.h
@@ -33,6 +33,7 @@
   // Of all engines that are up; a kind that is not told of counts for nothing.
   double cores_up(const std::vector<lynxstand::KindSettings>& kinds) const;
   std::size_t known() const { return engines_.size(); }
+  std::size_t listed() const;  // those that the list names: up or draining
 
   // nullptr: nothing may be sent there, as it is not up or its address has gone to another.
   const EngineRecord* usable(const std::string& uid) const;
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -15,6 +15,7 @@
 // request; who then keeps the connection for good holds it for no reason.
 constexpr Duration kFirstWithin = milliseconds(2200);
 constexpr Duration kSessionIdle = milliseconds(6000);
+constexpr Duration kSessionFresh = milliseconds(300);  // one that just came has its request on the way
 constexpr std::size_t kMostOpenOnSession = 32;
 constexpr Duration kSuspicion = milliseconds(1000);  // of a client whose request no engine could use
 Links::Bounds link_bounds(const config::Config& config) {
@@ -30,6 +31,7 @@
   bounds.sessions = config.limits.sessions();
   bounds.open = kMostOpenOnSession;
   bounds.first_within = kFirstWithin;
+  bounds.fresh = kSessionFresh;
   bounds.idle = kSessionIdle;
   bounds.suspicion = kSuspicion;
   return bounds;
@@ -64,7 +66,8 @@
       links_(link_bounds(config), engines),
       sessions_(session_bounds(config)),
       controller_(module_settings(config), config.seed, now),
-      now_(now) {
+      now_(now),
+      figures_(config.real.classes) {
   bool first = true;
   for (const auto& event : config.known) tell(directory_.apply(now, event, std::exchange(first, false)));
   if (config.door.on)
@@ -82,6 +85,7 @@
   std::visit([this](auto& e) { on(std::move(e)); }, event);
   run_controller();
   if (has_stations()) look_at_stations();
+  figures_.set_in_flight(calls_.size());
 }
 
 void Manager::tick(Time now) {
@@ -92,6 +96,7 @@
     run_controller();
     if (has_stations()) look_at_stations();
   }
+  figures_.set_in_flight(calls_.size());
 }
 
 Time Manager::next_due() const { return timers_.empty() ? Time::max() : timers_.begin()->first; }
@@ -120,9 +125,11 @@
     engines_.close(link);
     on(LinkEnded{link, "it does not answer"});
   }
-  for (const SessionId session : sessions_.overdue(now_, !accepts(now_))) close_idle(session);
+  service_.tick(now_, sessions_.closing());
+  for (const SessionId session : sessions_.overdue(now_, service_.closes_idle(now_))) close_idle(session);
   directory_.forget(now_);
   note_stations();
+  figures_.set_engines(directory_.listed(), controller_.avoided());
   at(now_ + kSweepEvery, Sweep{});
 }
 
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -11,10 +11,12 @@
 
 #include "config/config.h"
 #include "door/door.h"
+#include "figures/figures.h"
 #include "lynxstand/admission.h"
 #include "manager/directory.h"
 #include "manager/links.h"
 #include "manager/ports.h"
+#include "manager/service.h"
 #include "manager/sessions.h"
 #include "queues/queues.h"
 
@@ -38,12 +40,11 @@
   Time next_due() const;  // when tick() has something to do
 
   std::size_t open_requests() const { return calls_.size(); }
-  bool accepts(Time now) const { return now < accept_until_; }  // false: told to leave some time ago
-  bool listens(Time now) const { return now < listen_until_; }
+  const Service& service() const { return service_; }
+  figures::Figures& figures() { return figures_; }  // any thread may read them, while this lives
   // Told to leave, and nothing is owed or to be expected any more. Clients go on asking on connections that
   // are open, so these are closed first, each when nothing is open on it.
-  bool left(Time now) const { return !listens(now) && calls_.empty() && sessions_.empty(); }
-  Time end_by() const { return end_by_; }  // told to leave: nothing is open from then on
+  bool left(Time now) const { return service_.may_end(now) && calls_.empty() && sessions_.empty(); }
 
  private:
   struct Wake {
@@ -107,7 +108,9 @@
   void on(const LinkEnded& ended);
   void on(const Answered& answered);
   void on(const ListChanged& changed);
-  void on(const Leave&);
+  void on(const Leave& leave);
+  void on(const Evacuate&) { service_.evacuate(now_); }
+  void on(const Activate&) { service_.activate(now_); }
 
   // timers
   void due(const Wake& wake);
@@ -151,8 +154,8 @@
   void run_controller();
   Timers::iterator at(Time time, Timer timer) { return timers_.emplace(time, std::move(timer)); }
   void drop(Timers::iterator& timer);
-  void refuse(SessionId session, CallId call, Duration come_back_after);
-  void fail(SessionId session, CallId call, std::string_view why);
+  void refuse(const Arrived& told, Duration come_back_after);
+  void fail(const Arrived& told, std::string_view why);
   Request* open_call(SessionId session, CallId call, lynxstand::QueryId* query);
   void client_left(lynxstand::QueryId query);
   void close_call(Request& request);
@@ -160,6 +163,7 @@
   void spoilt(LinkId link);
   void unusable(lynxstand::QueryId query, Request& request);
   void close_idle(SessionId session);
+  void after_answer(SessionId session, bool floods);
   void answered_note(lynxstand::QueryId query, const Attempt& attempt, const EngineAnswer& answer);
   void answered_served(lynxstand::QueryId query, Request& request, EngineAnswer answer);
   void answered_rows(lynxstand::QueryId query, Request& request, EngineAnswer answer);
@@ -191,9 +195,8 @@
   std::vector<lynxstand::Action> actions_;
   std::uint64_t last_query_ = 0;
   SendTag last_tag_ = 0;
-  Time accept_until_ = Time::max();  // told to leave: when it ends
-  Time listen_until_ = Time::max();
-  Time end_by_ = Time::max();
+  Service service_;
+  figures::Figures figures_;
 };
 
 }  // namespace yokestream::manager
--- a/src/manager/ports.h
+++ b/src/manager/ports.h
@@ -80,9 +80,14 @@
 struct ListChanged {
   config::MembersEvent event;
 };
-struct Leave {};  // a planned restart has begun
+struct Leave {             // a planned restart has begun
+  bool successor = false;  // another process shares the listener and says yes
+  Duration most{};         // with a successor: it may be killed so long after
+};
+struct Evacuate {};  // the operators send clients away
+struct Activate {};  // and want them back
 using Event = std::variant<SessionBegan, Arrived, BadRequest, GaveUp, ProbeAsked, QuoteAsked, SessionEnded,
-                           LinkUp, LinkEnded, Answered, ListChanged, Leave>;
+                           LinkUp, LinkEnded, Answered, ListChanged, Leave, Evacuate, Activate>;
 
 // ---------------------------------------------------------------- actions
 
--- a/src/manager/requests.cpp
+++ b/src/manager/requests.cpp
@@ -51,17 +51,17 @@
     return;
   }
   // Guards the engines, and what the module believes of them, against a client whose requests they can't use.
-  if (sessions_.suspect(now_, arrived.session)) return fail(arrived.session, arrived.call, "Unusable");
+  if (sessions_.suspect(now_, arrived.session)) return fail(arrived, "Unusable");
   // Guards against an answer to the wrong one: engines know requests by the clients' ids alone.
-  if (ids_.count(arrived.request_id)) return fail(arrived.session, arrived.call, "bad field req: in use");
+  if (ids_.count(arrived.request_id)) return fail(arrived, "bad field req: in use");
   const bool full = config_.real.open_cap > 0 && calls_.size() >= config_.real.open_cap;
-  if (!accepts(now_) || full || !sessions_.may_open(arrived.session))
-    return refuse(arrived.session, arrived.call, kBusyWait);
-  if (arrived.deadline <= now_) return fail(arrived.session, arrived.call, "Late");
+  if (!service_.takes(now_) || full || !sessions_.may_open(arrived.session))
+    return refuse(arrived, kBusyWait);
+  if (arrived.deadline <= now_) return fail(arrived, "Late");
   Reservation held;
-  if (!budget_.take(held, arrived.statement.size())) return refuse(arrived.session, arrived.call, kBusyWait);
+  if (!budget_.take(held, arrived.statement.size())) return refuse(arrived, kBusyWait);
   arrived.deadline -= std::min(kSpare, (arrived.deadline - now_) / kSpareParts);
-  arrived.deadline = std::min(arrived.deadline, end_by_);
+  arrived.deadline = std::min(arrived.deadline, service_.end_by());
   const QueryId query{++last_query_};
   door::Verdict verdict;
   if (door_ && !knock(arrived, query, &verdict)) return;
@@ -97,22 +97,30 @@
 
 // A client that floods goes only where nothing of it is on the way: what its reader holds, what waits in the
 // inbox and the answers not yet written are owed their answers first. Else it goes with a later answer.
-void Manager::refuse(SessionId session, CallId call, Duration come_back_after) {
+void Manager::after_answer(SessionId session, bool floods) {
+  if (floods || (service_.closes_idle(now_) && sessions_.name_idle(session))) close_idle(session);
+}
+
+void Manager::refuse(const Arrived& told, Duration come_back_after) {
   const bool advise = config_.settings.may_advise_wait;
-  clients_.refuse(session, call,
+  clients_.refuse(told.session, told.call,
                   advise ? std::min(come_back_after, config_.settings.most_wait_advice) : Duration{});
-  if (sessions_.answered(now_, session)) close_idle(session);
+  figures_.ended(static_cast<std::size_t>(told.cls), figures::End::refused);
+  after_answer(told.session, sessions_.answered(now_, told.session));
 }
 
-void Manager::fail(SessionId session, CallId call, std::string_view why) {
-  clients_.fail(session, call, why);
-  if (sessions_.answered(now_, session)) close_idle(session);
+void Manager::fail(const Arrived& told, std::string_view why) {
+  figures_.ended(static_cast<std::size_t>(told.cls), figures::End::failed);
+  on(BadRequest{told.session, told.call, std::string(why)});
 }
 
-void Manager::on(const BadRequest& bad) { fail(bad.session, bad.call, bad.problem); }
+void Manager::on(const BadRequest& bad) {
+  clients_.fail(bad.session, bad.call, bad.problem);
+  after_answer(bad.session, sessions_.answered(now_, bad.session));
+}
 
 void Manager::on(const ProbeAsked& probe) {
-  clients_.answer_probe(probe.session, probe.call, accept_until_ == Time::max());
+  clients_.answer_probe(probe.session, probe.call, service_.says_yes());
   sessions_.answered(now_, probe.session);
 }
 
@@ -163,7 +171,7 @@
   log_.note("a request found no answer by its deadline");
   Request& request = requests_.at(guard.query);
   request.guard = timers_.end();
-  fail(request.told.session, request.told.call, "Late");
+  fail(request.told, "Late");
   client_left(guard.query);
 }
 
@@ -172,7 +180,7 @@
   if (it == requests_.end() || it->second.answered) return;
   it->second.past.refused = true;
   close_call(it->second);
-  this->refuse(it->second.told.session, it->second.told.call, refuse.come_back_after);
+  this->refuse(it->second.told, refuse.come_back_after);
   forget_if_done(it);
 }
 
@@ -180,7 +188,7 @@
   const auto it = requests_.find(fail.query);
   if (it == requests_.end() || it->second.answered) return;
   close_call(it->second);
-  this->fail(it->second.told.session, it->second.told.call, "Failed");
+  this->fail(it->second.told, "Failed");
   forget_if_done(it);
 }
 
--- a/src/manager/sessions.h
+++ b/src/manager/sessions.h
@@ -21,6 +21,7 @@
     Duration idle{};                // a connection with nothing open is closed after
     Duration suspicion{};
     std::size_t unserved = 64;  // answers to a client that was never served
+    Duration fresh{};           // closing all: one that is new has so long to ask for something
   };
   explicit Sessions(Bounds bounds) : bounds_(bounds) {}
 
@@ -41,8 +42,10 @@
   void keep(SessionId id);  // what was named could not be closed: something has come from it
   void end(SessionId id) { sessions_.erase(id); }
   // Those to be closed as they have nothing open: for too long, or, oldest first, as connections run short;
-  // with `all`, each. Each is named once.
+  // with `all`, each that is not new. Each is named once.
   std::vector<SessionId> overdue(Time now, bool all);
+  bool name_idle(SessionId id);  // true: nothing is open on it, and it is to be closed; named once
+  bool closing() const;          // is one that was named still there?
   bool empty() const { return sessions_.empty(); }
 
  private:
--- a/src/manager/station.cpp
+++ b/src/manager/station.cpp
@@ -34,7 +34,7 @@
   knock.deadline = arrived.deadline;
   *verdict = door_->arrive(now_, knock);
   const bool away = verdict->ruling == door::Ruling::turn_away;
-  if (away) refuse(arrived.session, arrived.call, verdict->hint);
+  if (away) refuse(arrived, verdict->hint);
   return !away;
 }
 
@@ -67,7 +67,7 @@
 
 void Manager::on(const QuoteAsked& asked) {
   const Arrived& told = asked.request;
-  if (!queues_) return fail(told.session, told.call, "unknown class");
+  if (!queues_) return on(BadRequest{told.session, told.call, "unknown class"});
   clients_.answer_quote(told.session, told.call, queues_->quote(now_, queue_arrival({}, told, 0)));
   sessions_.answered(now_, told.session);
 }
@@ -75,7 +75,7 @@
 // It has not been told to the module: none of it can have run.
 void Manager::refuse_waiting(Requests::iterator it, Duration hint) {
   close_call(it->second);
-  refuse(it->second.told.session, it->second.told.call, hint);
+  refuse(it->second.told, hint);
   forget_if_done(it);
 }
 
--- a/src/net/engine_link.cpp
+++ b/src/net/engine_link.cpp
@@ -14,15 +14,20 @@
 }  // namespace
 
 EngineLink::EngineLink(manager::LinkId id, const config::Endpoint& endpoint, Time deadline,
-                       const std::vector<std::string>& report_fields, Inbox& inbox, Poller& writer)
+                       const std::vector<std::string>& report_fields, Inbox& inbox, Poller& writer,
+                       figures::Figures& figures)
     : id_(id),
       up_by_(deadline),
       inbox_(inbox),
       writer_(writer),
       begun_(socket_.begin_connect(endpoint, &why_)),
       reader_(report_fields),
-      sender_(kOutboxBytes, socket_, &EngineLink::word,
-              [this] { writer_.admit(std::shared_ptr<Watched>(shared_from_this(), &sender_)); }) {}
+      sender_(
+          kOutboxBytes, socket_, &EngineLink::word,
+          [this] { writer_.admit(std::shared_ptr<Watched>(shared_from_this(), &sender_)); },
+          [&figures](const Item& item) {
+            if (std::holds_alternative<EngineRequest>(item.what)) figures.attempt();
+          }) {}
 
 EngineLink::~EngineLink() { break_off(); }
 
--- a/src/net/engine_link.h
+++ b/src/net/engine_link.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "figures/figures.h"
 #include "net/events.h"
 #include "net/poller.h"
 #include "net/sender.h"
@@ -19,7 +20,8 @@
  public:
   // Begins to connect. It never throws and never tells at once: how it went is told by the dock's looks.
   EngineLink(manager::LinkId id, const config::Endpoint& endpoint, Time deadline,
-             const std::vector<std::string>& report_fields, Inbox& inbox, Poller& writer);
+             const std::vector<std::string>& report_fields, Inbox& inbox, Poller& writer,
+             figures::Figures& figures);
   ~EngineLink() override;  // breaks off and joins
 
   void send(manager::SendTag tag, EngineRequest request);
--- /dev/null
+++ b/src/net/listener.h
@@ -0,0 +1,67 @@
+// Accepts clients, and takes leave of what has ended.
+#pragma once
+
+#include <memory>
+#include <variant>
+
+#include "config/config.h"
+#include "net/client_session.h"
+#include "net/events.h"
+#include "net/thread.h"
+
+namespace yokestream::net {
+
+// Closed until it is opened, once, by any thread.
+class Gate {
+ public:
+  Gate();  // throws std::system_error
+  void open();
+  const Fd& opened() const { return opened_; }  // can be read from then on
+
+ private:
+  Fd opened_;
+};
+
+// Accepts clients once `gate` is open. Its thread waits for them and for its own end together. The socket is
+// the platform's, where it hands one down (`config.listen_fd`), and then shared with other processes: it is
+// never shut down here, only closed.
+class Listener {
+ public:
+  // `slots`: connections that may be there at once; it outlives them, as the listener does not.
+  Listener(const config::Config& config, const Gate& gate, manager::Budget& slots, manager::Budget& budget,
+           Inbox& inbox, Readers& readers, manager::Log& log);
+  ~Listener();
+  config::Endpoint endpoint() const { return local_endpoint(fd_); }
+
+ private:
+  void accept_all();
+  bool wait_until(Time deadline, const Fd* news);  // false: it is over
+
+  Fd fd_, over_;  // over_: can be read once all is over
+  const Gate& gate_;
+  const config::RealSettings& names_;
+  manager::Budget& budget_;
+  manager::Budget& slots_;
+  Inbox& inbox_;
+  Readers& readers_;
+  manager::Log& log_;
+  std::uint64_t last_session_ = 0;
+  Thread thread_;  // last: it uses the rest
+};
+
+// Destroys client connections and the listener, which joins their threads, on a thread of its own: the core
+// never waits for one.
+class Undertaker {
+ public:
+  Undertaker();
+  ~Undertaker();
+  void bury(std::shared_ptr<ClientSession> session);
+  void bury(std::unique_ptr<Listener> listener);
+
+ private:
+  using Dead = std::variant<std::shared_ptr<ClientSession>, std::unique_ptr<Listener>>;
+  Outbox<Dead> dead_;
+  Thread thread_;
+};
+
+}  // namespace yokestream::net
--- a/src/net/sender.h
+++ b/src/net/sender.h
@@ -30,8 +30,14 @@
  public:
   using Word = std::function<std::string(const Item&)>;
   using Slow = std::function<void()>;
-  Sender(std::size_t bound_bytes, Socket& socket, Word word, Slow slow)
-      : bound_(bound_bytes), socket_(socket), word_(std::move(word)), slow_(std::move(slow)) {}
+  using Whole =
+      std::function<void(const Item&)>;  // called, under the lock, once the socket has all of an item
+  Sender(std::size_t bound_bytes, Socket& socket, Word word, Slow slow, Whole whole = {})
+      : bound_(bound_bytes),
+        socket_(socket),
+        word_(std::move(word)),
+        slow_(std::move(slow)),
+        whole_(std::move(whole)) {}
 
   // The connection is up: what waits leaves, and what comes from now on leaves at once.
   void open() {
@@ -110,6 +116,7 @@
       }
       begun_ = bytes.erase(0, *written);
       if (!begun_.empty()) return Went::in_part;
+      if (whole_) whole_(*writing_);
       writing_.reset();
     }
     if (finishing_) socket_.break_off();
@@ -120,6 +127,7 @@
   Socket& socket_;
   const Word word_;
   const Slow slow_;
+  const Whole whole_;
   std::mutex mutex_;
   std::deque<std::pair<Item, std::size_t>> items_;
   std::optional<Item> writing_;  // left in part: what it holds is given back once it has left
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -1,19 +1,8 @@
 #include "net/server.h"
 
-#include <fcntl.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <poll.h>
-#include <sys/eventfd.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <algorithm>
-#include <cerrno>
 #include <type_traits>
 
-#include "protocol/resp.h"
-
 namespace yokestream::net {
 namespace {
 
@@ -23,8 +12,11 @@
 // Readers that busy clients may have of their own: a machine holds hundreds of managers, and only so many
 // threads (docs/design/fleet.md). Clients beyond are read by the lobby's thread.
 constexpr std::size_t kMostReaders = 32;
-constexpr std::size_t kBudgetShare = 4;                  // a quarter of the memory for statements and results
-constexpr Duration kDescriptorPause = milliseconds(10);  // when none is free
+constexpr std::size_t kBudgetShare = 4;  // a quarter of the memory for statements and results
+// After the word to leave, where another process took over: the kill comes after the longest deadline, at
+// most so much counted, and this.
+constexpr Duration kLongestCounted = std::chrono::seconds(5);
+constexpr Duration kKillAfter = milliseconds(700);
 constexpr Duration kSlowTurn = milliseconds(40);
 // For answers that are queued when all is over. Guards them against a writer that does not run for a moment:
 // a part of a core is shared by all. Still before the kill, 3.7 s after the word to leave.
@@ -48,82 +40,6 @@
 
 }  // namespace
 
-Undertaker::Undertaker() : dead_(~std::size_t{0}) {
-  thread_ = Thread("undertaker", kSmallStack, [this] {
-    while (dead_.take()) {
-    }
-  });
-}
-Undertaker::~Undertaker() { dead_.finish(); }
-void Undertaker::bury(std::shared_ptr<ClientSession> session) {
-  session->break_off("its session has ended");
-  dead_.add(std::move(session), 0);
-}
-void Undertaker::bury(std::unique_ptr<Listener> listener) { dead_.add(std::move(listener), 0); }
-
-Listener::Listener(const config::Config& config, manager::Budget& slots, manager::Budget& budget,
-                   Inbox& inbox, Readers& readers, manager::Log& log)
-    : fd_(listen_on(config.listen)),
-      over_(::eventfd(0, EFD_CLOEXEC)),
-      names_(config.real),
-      budget_(budget),
-      slots_(slots),
-      inbox_(inbox),
-      readers_(readers),
-      log_(log) {
-  if (!over_ || ::fcntl(fd_.get(), F_SETFL, O_NONBLOCK) != 0)
-    throw std::system_error(errno, std::generic_category(), "cannot wait for clients");
-  thread_ = Thread("listener", kSmallStack, [this] { accept_all(); });
-}
-
-Listener::~Listener() {
-  const std::uint64_t one = 1;
-  [[maybe_unused]] const auto written = ::write(over_.get(), &one, sizeof one);
-}
-
-// Guards the end: whoever waits in accept() itself is not woken by the end of the listener on every platform.
-bool Listener::wait_until(Time deadline, bool for_clients) {
-  pollfd both[] = {{over_.get(), POLLIN, 0}, {fd_.get(), POLLIN, 0}};
-  ::poll(both, for_clients ? 2 : 1, milliseconds_until(deadline));
-  return (both[0].revents & POLLIN) == 0;
-}
-
-void Listener::accept_all() {
-  bool short_of = false;
-  while (true) {
-    // Guards the descriptors that links to engines need: who is one too many waits to be accepted, and the
-    // core closes idle connections before it comes to that.
-    manager::Reservation slot;
-    if (!slots_.take(slot, 1)) {
-      if (!wait_until(now() + kDescriptorPause, false)) return;
-      continue;
-    }
-    if (!wait_until(Time::max(), true)) return;
-    sockaddr_in from{};
-    socklen_t size = sizeof from;
-    Fd fd(::accept4(fd_.get(), reinterpret_cast<sockaddr*>(&from), &size, SOCK_CLOEXEC));
-    if (fd) {
-      const int on = 1;
-      setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-      // Guards the time limits: a request counts from its last byte, so it is read from here on and does
-      // not wait for a busy core. The core hears of the session first, and so of its requests later.
-      const manager::SessionId id{++last_session_};
-      const auto session = std::make_shared<ClientSession>(id, std::move(fd), std::move(slot), names_,
-                                                           budget_, inbox_, readers_, log_);
-      inbox_.post(Accepted{id, from.sin_addr.s_addr, session});
-      readers_.lobby.admit(session);
-      short_of = false;
-      continue;
-    }
-    // Guards against an end of descriptors or memory: who waits is accepted when some are free again.
-    const int error = errno;
-    const bool passing = error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
-    if (passing && !std::exchange(short_of, true)) log_.note("no descriptor is free for a new connection");
-    const bool gone = error == EAGAIN || error == EINTR || error == ECONNABORTED;  // it left before its turn
-    if (!gone && !wait_until(now() + kDescriptorPause, false)) return;
-  }
-}
-
 Server::Server(const config::Config& config, manager::Log& log)
     : config_(config),
       log_(log),
@@ -137,13 +53,21 @@
       manager_(config, now(), from_unix_ms, budget_, *this, *this, log) {
   last_event_ = config.known_number;
   follow(config.feed);
-  listener_ = std::make_unique<Listener>(config, slots_, budget_, inbox_, readers_, log);
+  listener_ = std::make_unique<Listener>(config, gate_, slots_, budget_, inbox_, readers_, log);
+  if (config.listen_fd && !config.shared_folder.empty()) together_.emplace(config.shared_folder);
+  // Beside another process this one accepts once it was asked whether it is ready: until then the other one
+  // serves.
+  if (!together_ || !config.management || together_->others() == 0) open_gate();
+  if (config.management)
+    management_ =
+        std::make_unique<Management>(*config.management, manager_.figures(), [this] { open_gate(); });
   core_ = Thread("core", kLargeStack, [this] { run(); });
 }
 
 Server::~Server() {
   inbox_.close();  // whoever waits to post to it goes on, and ends
   core_.join();
+  management_.reset();  // it reads the core's figures
   listener_.reset();
   feed_.reset();
   sessions_.clear();
@@ -163,16 +87,51 @@
   if (feed) feed_ = std::make_unique<FeedFollower>(*feed, last_event_, inbox_, log_);
 }
 
+std::optional<config::Endpoint> Server::management() const {
+  return management_ ? std::optional(management_->endpoint()) : std::nullopt;
+}
+
+void Server::open_gate() {
+  gate_.open();
+  if (together_) together_->say_yes();
+}
+
 void Server::leave() { inbox_.post(manager::Event(manager::Leave{})); }
 
 void Server::wait() { core_.join(); }
 
+// What differs where another process that shares the listener says yes; this one says it no more.
+manager::Leave Server::leave_as() const {
+  manager::Leave leave;
+  leave.successor = together_ && together_->successor();
+  for (const Duration deadline : config_.real.deadlines) leave.most = std::max(leave.most, deadline);
+  leave.most = std::min(leave.most, kLongestCounted) + kKillAfter;
+  return leave;
+}
+
+// Once a turn, so within a sweep of the core: what the operators want, what they are to see, and whether the
+// process that this one stood beside has gone before anybody asked for the yes.
+void Server::heed_operators() {
+  if (management_) {
+    if (std::exchange(evacuated_, management_->evacuated()) != management_->evacuated()) {
+      manager_.handle(now(), evacuated_ ? manager::Event(manager::Evacuate{}) : manager::Activate{});
+      log_.note(evacuated_ ? "clients are sent away" : "clients are wanted back");
+    }
+    const auto& service = manager_.service();
+    management_->publish(service.leaving()    ? Management::Standing::leaving
+                         : service.says_yes() ? Management::Standing::ready
+                                              : Management::Standing::draining);
+  }
+  if (together_ && !alone_ && together_->others() == 0) open_gate(), alone_ = true;
+}
+
 void Server::run() {
   while (true) {
     const Time time = now();
-    const bool late = manager_.end_by() != Time::max() && time >= manager_.end_by() + kLastWrites;
-    if (manager_.left(time) || late) break;
-    if (listener_ && !manager_.listens(time)) undertaker_.bury(std::move(listener_));
+    const Time end_by = manager_.service().end_by();
+    if (manager_.left(time) || (end_by != Time::max() && time >= end_by + kLastWrites)) break;
+    if (listener_ && !manager_.service().listens(time)) undertaker_.bury(std::move(listener_));
+    heed_operators();
     auto events = inbox_.take_until(manager_.next_due());
     const Time began = now();
     const std::size_t count = events.size();
@@ -207,6 +166,11 @@
     return follow(reloaded->feed);
   }
   auto& told = std::get<manager::Event>(event);
+  if (auto* leave = std::get_if<manager::Leave>(&told)) {
+    *leave = leave_as();
+    if (together_) together_->step_down();
+    log_.note(leave->successor ? "another process serves from now on" : "nobody else serves here");
+  }
   const auto sender = sender_of(told);
   if (const auto* session = std::get_if<manager::SessionEnded>(&told)) {
     const auto id = session->session;
@@ -235,75 +199,4 @@
   }
 }
 
-ClientSession* Server::find(manager::SessionId session) {
-  const auto it = sessions_.find(session);
-  return it == sessions_.end() ? nullptr : it->second.get();
-}
-EngineLink* Server::find(manager::LinkId link) {
-  const auto it = links_.find(link);
-  return it == links_.end() ? nullptr : it->second.get();
-}
-
-void Server::serve(manager::SessionId session, manager::CallId call, manager::Result result) {
-  if (auto* s = find(session)) s->serve(call, std::move(result));
-}
-void Server::refuse(manager::SessionId session, manager::CallId call, Duration come_back_after) {
-  if (auto* s = find(session)) s->refuse(call, come_back_after);
-}
-void Server::fail(manager::SessionId session, manager::CallId call, std::string_view why) {
-  if (auto* s = find(session)) s->fail(call, why);
-}
-void Server::quoted(manager::SessionId session, manager::CallId call, const queues::Quote& quote) {
-  if (!config_.real.quote_method) return;
-  if (auto* s = find(session)) s->quoted(call, quote);
-}
-
-void Server::answer_quote(manager::SessionId session, manager::CallId call, const queues::Quote& quote) {
-  if (auto* s = find(session)) s->answer_quote(call, quote);
-}
-
-void Server::answer_probe(manager::SessionId session, manager::CallId call, bool able) {
-  if (auto* s = find(session)) s->answer_probe(call, able);
-}
-void Server::close(manager::SessionId session) {
-  if (auto* s = find(session)) s->break_off("closed by the core");
-}
-
-bool Server::close_idle(manager::SessionId session) {
-  auto* s = find(session);
-  return s && s->break_off_idle();
-}
-
-void Server::open(manager::LinkId link, const config::Endpoint& endpoint, Time deadline) {
-  const auto opened =
-      std::make_shared<EngineLink>(link, endpoint, deadline, config_.real.report_fields, inbox_, writer_);
-  links_.emplace(link, opened);
-  dock_.admit(opened);
-}
-void Server::send(manager::LinkId link, manager::SendTag tag, EngineRequest request) {
-  if (auto* l = find(link)) l->send(tag, std::move(request));
-}
-bool Server::withdraw(manager::LinkId link, manager::SendTag tag) {
-  auto* l = find(link);
-  return l && l->withdraw(tag);
-}
-void Server::stop(manager::LinkId link, std::string_view id) {
-  if (auto* l = find(link)) l->say(protocol::encode_stop(id));
-}
-void Server::hello(manager::LinkId link, std::string_view tag) {
-  if (auto* l = find(link)) l->say(protocol::encode_hello(tag));
-}
-void Server::nice(manager::LinkId link, std::string_view id, std::uint32_t band) {
-  if (auto* l = find(link)) l->say(protocol::encode_nice(id, band));
-}
-void Server::fetch(manager::LinkId link, std::string_view id, std::uint32_t page) {
-  if (auto* l = find(link)) l->say(protocol::encode_fetch(id, page));
-}
-void Server::end(manager::LinkId link, std::string_view id) {
-  if (auto* l = find(link)) l->say(protocol::encode_end(id));
-}
-void Server::close(manager::LinkId link) {
-  if (auto closed = links_.extract(link)) closed.mapped()->break_off();  // the dock may hold it still
-}
-
 }  // namespace yokestream::net
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -11,60 +11,23 @@
 #include "net/engine_link.h"
 #include "net/events.h"
 #include "net/feed_follower.h"
+#include "net/listener.h"
+#include "net/management.h"
 #include "net/poller.h"
 #include "net/thread.h"
+#include "net/together.h"
 
 namespace yokestream::net {
 
-class Listener;
-
-// Destroys client connections and the listener, which joins their threads, on a thread of its own: the core
-// never waits for one.
-class Undertaker {
- public:
-  Undertaker();
-  ~Undertaker();
-  void bury(std::shared_ptr<ClientSession> session);
-  void bury(std::unique_ptr<Listener> listener);
-
- private:
-  using Dead = std::variant<std::shared_ptr<ClientSession>, std::unique_ptr<Listener>>;
-  Outbox<Dead> dead_;
-  Thread thread_;
-};
-
-// Accepts clients. Its thread waits for them and for its own end together.
-class Listener {
- public:
-  // `slots`: connections that may be there at once; it outlives them, as the listener does not.
-  Listener(const config::Config& config, manager::Budget& slots, manager::Budget& budget, Inbox& inbox,
-           Readers& readers, manager::Log& log);
-  ~Listener();
-  config::Endpoint endpoint() const { return local_endpoint(fd_); }
-
- private:
-  void accept_all();
-  bool wait_until(Time deadline, bool for_clients);  // false: it is over
-
-  Fd fd_, over_;  // over_: can be read once all is over
-  const config::RealSettings& names_;
-  manager::Budget& budget_;
-  manager::Budget& slots_;
-  Inbox& inbox_;
-  Readers& readers_;
-  manager::Log& log_;
-  std::uint64_t last_session_ = 0;
-  Thread thread_;  // last: it uses the rest
-};
-
 class Server : private manager::ClientPort, private manager::EnginePort {
  public:
   Server(const config::Config& config, manager::Log& log);  // throws std::system_error; serves from then on
   ~Server();
   config::Endpoint endpoint() const { return listener_->endpoint(); }
-  void reload(const config::Config& config);  // the feed, what may change of the door, the teams
-  void leave();                               // starts the end: what comes meanwhile is still served
-  void wait();                                // until it has come
+  void reload(const config::Config& config);           // the feed, what may change of the door, the teams
+  std::optional<config::Endpoint> management() const;  // the operators' door, where there is one
+  void leave();                                        // starts the end: what comes meanwhile is still served
+  void wait();                                         // until it has come
 
  private:
   void run();
@@ -72,6 +35,9 @@
   void follow(const std::optional<config::Endpoint>& feed);
   void note_if_slow(Time began, std::size_t events);
   void close_sessions();
+  void open_gate();
+  void heed_operators();
+  manager::Leave leave_as() const;
 
   void serve(manager::SessionId session, manager::CallId call, manager::Result result) override;
   void refuse(manager::SessionId session, manager::CallId call, Duration come_back_after) override;
@@ -110,8 +76,13 @@
   std::optional<config::Endpoint> followed_;  // the core's thread only, as is the follower
   std::uint64_t last_event_ = 0;
   std::unique_ptr<FeedFollower> feed_;
+  Gate gate_;
   std::unique_ptr<Listener> listener_;
-  Thread core_;  // last: it uses the rest
+  std::optional<Together> together_;        // where processes may share the listener
+  bool alone_ = false;                      // the core's thread only, as the next: others have gone
+  bool evacuated_ = false;                  // the core's thread only: the wish that it has carried out
+  std::unique_ptr<Management> management_;  // its thread reads the core's figures, and opens the gate
+  Thread core_;                             // last: it uses the rest
 };
 
 }  // namespace yokestream::net
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -180,6 +180,18 @@
   return fd;
 }
 
+bool is_listener(int fd) {
+  int listens = 0;
+  socklen_t size = sizeof listens;
+  return ::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) == 0 && listens != 0;
+}
+
+Fd inherited_listener(int fd) {
+  Fd own(is_listener(fd) ? ::fcntl(fd, F_DUPFD_CLOEXEC, 0) : -1);
+  if (!own) throw std::system_error(ENOTSOCK, std::generic_category(), "no listener is handed down");
+  return own;
+}
+
 config::Endpoint local_endpoint(const Fd& fd) {
   sockaddr_in address{};
   socklen_t size = sizeof address;
--- /dev/null
+++ b/src/net/together.h
@@ -0,0 +1,33 @@
+// The processes of one workload manager during an upgrade: how many there are, and which of them say yes.
+//
+// Each holds byte locks on one file in the folder that they share: one for being there, one for accepting
+// clients. The system lets go of them with the process, however it ends, so nothing stale is left by a dead
+// one. Nothing is ever waited for. One descriptor. say_yes() and step_down() may be called by any thread, the
+// rest by the core's.
+#pragma once
+
+#include <string>
+
+#include "net/socket.h"
+
+namespace yokestream::net {
+
+class Together {
+ public:
+  static constexpr int kMost = 8;  // processes; one too many throws
+
+  explicit Together(const std::string& folder);  // throws std::system_error
+  void say_yes();                                // this process accepts clients
+  void step_down();                              // no more
+  int others() const;                            // that are there
+  bool successor() const;                        // does another one accept clients?
+
+ private:
+  bool lock(int byte, short kind);
+  bool held_by_other(int byte) const;
+
+  Fd file_;
+  int place_ = 0;
+};
+
+}  // namespace yokestream::net
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -1017,4 +1017,13 @@
   impl_->handle(now, event, actions);
 }
 
+std::size_t AdmissionController::avoided() const {
+  return static_cast<std::size_t>(
+      std::count_if(impl_->engines.begin(), impl_->engines.end(), [&](const auto& known) {
+        const Engine& e = known.second;
+        return e.entry.state != EngineState::gone &&
+               (e.entry.state != EngineState::up || e.shunned || impl_->now < e.full_until);
+      }));
+}
+
 }  // namespace lynxstand
--- a/tests/node/net_test.cpp
+++ b/tests/node/net_test.cpp
@@ -273,12 +273,13 @@
   Listening engine, gone;
   net::Inbox inbox(200);
   const std::vector<std::string> fields;
+  figures::Figures figures({});
   net::Poller dock("dock"), writer("writer");
   const auto before = threads();
   std::vector<std::shared_ptr<net::EngineLink>> links;
   const auto open = [&](const config::Endpoint& at) {
     const manager::LinkId id{static_cast<std::uint64_t>(links.size())};
-    links.push_back(std::make_shared<net::EngineLink>(id, at, Time::max(), fields, inbox, writer));
+    links.push_back(std::make_shared<net::EngineLink>(id, at, Time::max(), fields, inbox, writer, figures));
     dock.admit(links.back());
   };
   std::vector<std::unique_ptr<Peer>> ends;
--- /dev/null
+++ b/tests/node/service_test.cpp
@@ -0,0 +1,187 @@
+// The service states, drains and figures, on the core with fake ports and a fake clock; the operators' words.
+#include "manager/service.h"
+
+#include <doctest/doctest.h>
+
+#include "helper.h"
+#include "protocol/management_call.h"
+
+namespace yokestream::test {
+namespace {
+
+using manager::Service;
+using State = Service::State;
+
+// The table of service.h, step by step, beside a model that knows only the table.
+struct Table {
+  State state = State::ready;
+  Time since{};
+  void step(int word, Time now, bool closing) {
+    const auto enter = [&](State next) { state = next, since = now; };
+    const bool sends_away = state == State::draining || state == State::drained;
+    if (word == 0 && (state == State::ready || state == State::returning)) enter(State::draining);
+    if (word == 1 && sends_away) enter(State::returning);
+    if (word == 2 && state != State::leaving) enter(State::leaving);
+    if (word != 3) return;
+    if (state == State::draining && now - since >= 1600ms) return enter(State::drained);
+    if (state == State::returning && (!closing || now - since >= 1s)) enter(State::ready);
+  }
+};
+
+TEST_CASE("the service states follow their table, whatever is told and when") {
+  for (std::uint32_t seed = 1; seed <= 50; ++seed) {
+    Steps steps(seed);
+    Service service;
+    Table table;
+    Time now{Duration(1000s)};
+    for (int i = 0; i < 200; ++i) {
+      now += Duration(1ms) * static_cast<int>(steps.below(900));
+      const int word = steps.below(60) == 0 ? 2 : std::array{0, 1, 3, 3}[steps.below(4)];
+      const bool closing = steps.below(2) == 0;
+      if (word == 0) service.evacuate(now);
+      if (word == 1) service.activate(now);
+      if (word == 2) service.leave(now, steps.below(2) == 0, 4s);
+      if (word == 3) service.tick(now, closing);
+      table.step(word, now, closing);
+      REQUIRE(service.state() == table.state);
+      REQUIRE(service.says_yes() == (table.state == State::ready));
+      const bool sends_away = table.state == State::draining || table.state == State::drained;
+      if (table.state != State::leaving) REQUIRE(service.closes_idle(now) == sends_away);
+      if (table.state != State::leaving) REQUIRE(service.takes(now) == (table.state != State::drained));
+    }
+  }
+}
+
+bool said(const Core& c, const std::string& what) {
+  return std::find(c.said.begin(), c.said.end(), what) != c.said.end();
+}
+
+TEST_CASE(
+    "a drain closes what is idle at once, what is in use after its last answer, and refuses what is late") {
+  Core c(config::decode_config(config_text()));
+  c.hear(manager::SessionBegan{manager::SessionId{2}});
+  c.arrive(1, 0, 4s, 2);
+  c.answer(c.written(), AnswerWord::served, 1, 0, "a\tb\tc\n");
+  c.arrive(1);
+  const auto out = c.written();
+  c.hear(manager::Evacuate{});
+  c.hear(manager::ProbeAsked{manager::SessionId{1}, 9});
+  CHECK(c.to(9).back().kind == "leaving");
+  c.pass(300ms);
+  CHECK(said(c, "close 2"));
+  CHECK_FALSE(said(c, "close 1"));
+  c.arrive(2);  // served as usual
+  c.answer(out, AnswerWord::served, 1, 0, "a\tb\tc\n");
+  CHECK_FALSE(said(c, "close 1"));  // it has one open still
+  c.answer(c.only(), AnswerWord::served, 1, 0, "a\tb\tc\n");
+  CHECK(c.to(2).back().kind == "served");
+  CHECK(said(c, "close 1"));
+  c.hear(manager::SessionEnded{manager::SessionId{1}});
+  c.pass(2s);
+  c.hear(manager::SessionBegan{manager::SessionId{3}});
+  c.arrive(1, 0, 4s, 3);
+  CHECK(c.to(1, 3).back().kind == "refused");
+  c.pass(400ms);
+  CHECK(said(c, "close 3"));
+}
+
+TEST_CASE(
+    "after a drain, or in the middle of one, yes is back within two seconds; a restart stays a restart") {
+  Core c(config::decode_config(config_text()));
+  for (const Duration when : {0ms, 500ms, 3000ms}) {
+    c.hear(manager::Evacuate{});
+    c.pass(when);
+    c.hear(manager::Activate{});
+    c.hear(manager::Activate{});
+    c.pass(2s);
+    CHECK(c.core.service().says_yes());
+    c.arrive(1000 + static_cast<manager::CallId>(when / 1ms));
+    CHECK(c.to(1000 + static_cast<manager::CallId>(when / 1ms)).empty());  // it is out
+  }
+  c.hear(manager::Evacuate{});
+  c.hear(manager::Leave{});
+  c.hear(manager::Activate{});
+  c.pass(2s);
+  CHECK(c.core.service().leaving());
+}
+
+TEST_CASE(
+    "beside a successor the restart accepts nobody, closes the idle, and serves on for as long as it may") {
+  Core c(config::decode_config(config_text()));
+  c.arrive(1);
+  c.answer(c.written(), AnswerWord::served, 1, 0, "a\tb\tc\n");
+  c.hear(manager::Leave{true, 4700ms});
+  CHECK_FALSE(c.core.service().listens(c.now));
+  c.pass(1500ms);  // a planned restart without one takes nothing any more by now
+  c.hear(manager::SessionBegan{manager::SessionId{2}});
+  c.arrive(1, 0, 4s, 2);
+  c.answer(c.written(), AnswerWord::served, 1, 0, "a\tb\tc\n");
+  CHECK(c.to(1, 2).back().kind == "served");
+  CHECK(said(c, "close 2"));
+}
+
+// Random days: what the figures say is what clients and engines counted.
+TEST_CASE("the figures are what the clients heard and what is open, on random days") {
+  for (std::uint32_t seed = 1; seed <= 30; ++seed) {
+    Steps steps(seed);
+    Core c(config::decode_config(config_text()));
+    for (int step = 0; step < 400; ++step) {
+      const auto chance = steps.below(10);
+      if (chance < 4)
+        c.arrive(static_cast<manager::CallId>(step + 1), steps.below(2),
+                 500ms + 1ms * static_cast<int>(steps.below(3000)));
+      if (chance == 4 && !c.out.empty())
+        c.hear(manager::LinkUp{c.only().link}), c.only().state = Core::Sent::written;
+      if (chance == 5 && !c.out.empty()) c.answer(Core::Out(c.only()), AnswerWord::served, 1, 0, "a\tb\tc\n");
+      if (chance == 6 && !c.out.empty()) c.answer(Core::Out(c.only()), AnswerWord::crashed);
+      if (chance == 7) c.pass(1ms * static_cast<int>(steps.below(800)));
+      if (steps.below(40) == 0) c.hear(manager::Evacuate{});
+      if (steps.below(40) == 0) c.hear(manager::Activate{});
+    }
+    c.pass(250ms);
+    std::map<std::string, int> heard;
+    for (const auto& [key, replies] : c.replies)
+      heard[replies.at(0).kind] += static_cast<int>(replies.size());
+    const std::string text = c.core.figures().text();
+    const auto value = [&](const std::string& name) {
+      const auto at = text.find("edge_relay." + name + ":");
+      REQUIRE(at != std::string::npos);
+      return std::stoi(text.substr(text.find(':', at) + 1));
+    };
+    for (const std::string end : {"served", "refused", "failed"})
+      CHECK(value("requests.look." + end) + value("requests.load." + end) == heard[end]);
+    CHECK(value("in_flight") == static_cast<int>(c.core.open_requests()));
+    CHECK(value("engines_known") == 1);
+    CHECK(heard["served"] > 0);
+  }
+}
+
+TEST_CASE("the operators' words come in any pieces; all else is a bad call with its reason") {
+  const auto read = [](std::string_view bytes, Steps& steps) {
+    protocol::ManagementReader reader;
+    while (!bytes.empty()) {
+      const std::size_t size = 1 + steps.below(std::min<std::size_t>(bytes.size(), 50));
+      reader.feed(bytes.substr(0, size));
+      bytes.remove_prefix(size);
+    }
+    return reader.call();
+  };
+  Steps steps(7);
+  const auto is = [](const auto& call, protocol::ManagementWord word) {
+    return call && std::holds_alternative<protocol::ManagementWord>(*call) &&
+           std::get<protocol::ManagementWord>(*call) == word;
+  };
+  for (int i = 0; i < 20; ++i) {
+    CHECK(is(read("readyz\n", steps), protocol::ManagementWord::readyz));
+    CHECK(is(read("telemetry\r\nmore\n", steps), protocol::ManagementWord::telemetry));
+    CHECK(is(read(" evacuate \n", steps), protocol::ManagementWord::evacuate));
+    CHECK(is(read("activate\n", steps), protocol::ManagementWord::activate));
+    CHECK_FALSE(read("readyz", steps));
+    for (const std::string bad : {"READYZ\n", "\n", "readyz now\n", "\xff\x00\n"})
+      CHECK(std::holds_alternative<protocol::BadManagementCall>(*read(bad, steps)));
+    CHECK(std::holds_alternative<protocol::BadManagementCall>(*read(std::string(1 << 20, 'x'), steps)));
+  }
+}
+
+}  // namespace
+}  // namespace yokestream::test
