Prove upgrades and the door on real processes; close clients where nothing crosses

Need: several-process tests of the upgrade; with them was seen that the old process closed connections in the same moment as its last answer, so that a client that asks again at once crossed the end (1 to 6 of 6 clients), and that connections with a refused request were never closed (the message still held its turn in the core's event), so they lived to the end. Ruled out: the listener (accepted ones were all read), the engines.

Change: a timer of its own, each 10 ms while clients are sent away, closes what has been silent for 8 ms (at once where nothing is taken any more). A successor that comes after the word to leave takes over all the same, and a process that nobody asked serves once the other says no more yes.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -64,8 +64,10 @@
   bound_memory();
   Log log(both.operators.log);
   net::Server server(both.config, log);
+  const auto management = server.management();
   log.note(both.config.name + " serves on " + to_string(server.endpoint()) +
-           (both.config.door.on ? " with the door on" : ""));
+           (both.config.door.on ? " with the door on" : "") +
+           (management ? ", operators on " + to_string(*management) : ""));
   for (int signal = SIGHUP; signal == SIGHUP;) {
     sigwait(&told, &signal);
     if (signal == SIGHUP) reload(files, server, log);
--- a/src/manager/answers.cpp
+++ b/src/manager/answers.cpp
@@ -150,7 +150,6 @@
     sessions_.served(now_, session);
     figures_.ended(static_cast<std::size_t>(request.told.cls), figures::End::served);
     close_call(request);
-    after_answer(session, false);
   }
   end_attempt(query, request, Outcome::served);
 }
--- a/src/manager/leaving.cpp
+++ b/src/manager/leaving.cpp
@@ -11,9 +11,10 @@
 }  // namespace
 
 void Manager::on(const Leave& leave) {
-  if (service_.leaving()) return;
+  const bool again = service_.leaving();
   service_.leave(now_, leave.successor, leave.most);
-  at(service_.end_by(), EndAll{});
+  if (!again) at(service_.end_by(), EndAll{});
+  look_at_service();
 }
 
 // Guards the requests that a planned restart would cut off: their clients hear at once that they may ask
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -10,6 +10,11 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kSweepEvery = milliseconds(200);
+// While connections are closed as they fall idle: how often they are looked at. Who asks again at once after
+// each answer is not cut off just then, as its next request would cross the end of its connection; but nobody
+// is spared who pauses between two requests.
+constexpr Duration kCloseEvery = milliseconds(10);
+constexpr Duration kSessionQuiet = milliseconds(8);
 constexpr Duration kAskAfter = milliseconds(500);  // a link with something on it that is silent
 // A client must hear something within 3 s, though it asks for nothing. Usual ones close after 4 s without a
 // request; who then keeps the connection for good holds it for no reason.
@@ -76,6 +81,7 @@
   tell_stations_of_engines();
   at(now + kSweepEvery, Sweep{});
   run_controller();
+  publish_engines();
 }
 
 void Manager::step(Time now) { now_ = std::max(now_, now); }
@@ -125,12 +131,27 @@
     engines_.close(link);
     on(LinkEnded{link, "it does not answer"});
   }
-  service_.tick(now_, sessions_.closing());
-  for (const SessionId session : sessions_.overdue(now_, service_.closes_idle(now_))) close_idle(session);
+  look_at_service();
   directory_.forget(now_);
   note_stations();
-  figures_.set_engines(directory_.listed(), controller_.avoided());
+  publish_engines();
   at(now_ + kSweepEvery, Sweep{});
 }
 
+void Manager::look_at_service() {
+  service_.tick(now_, sessions_.closing());
+  const auto spared = service_.closes_idle(now_)
+                          ? std::optional(service_.takes(now_) ? kSessionQuiet : Duration{})
+                          : std::nullopt;
+  for (const SessionId session : sessions_.overdue(now_, spared)) close_idle(session);
+  if (spared && !closing_) closing_ = true, at(now_ + kCloseEvery, CloseIdle{});
+}
+
+void Manager::due(const CloseIdle&) {
+  closing_ = false;
+  look_at_service();
+}
+
+void Manager::publish_engines() { figures_.set_engines(directory_.listed(), controller_.avoided()); }
+
 }  // namespace yokestream::manager
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -63,9 +63,10 @@
     Time since{};
   };
   struct Sweep {};
+  struct CloseIdle {};    // clients are sent away: those that are idle now
   struct StationLook {};  // somebody at a station may have to move
   struct EndAll {};       // told to leave: whatever is open gets its answer now
-  using Timer = std::variant<Wake, Deadline, Guard, AttemptTimer, Sweep, StationLook, EndAll>;
+  using Timer = std::variant<Wake, Deadline, Guard, AttemptTimer, Sweep, CloseIdle, StationLook, EndAll>;
   using Timers = std::multimap<Time, Timer>;
 
   enum class Phase { out, stopping, fetching };
@@ -109,7 +110,7 @@
   void on(const Answered& answered);
   void on(const ListChanged& changed);
   void on(const Leave& leave);
-  void on(const Evacuate&) { service_.evacuate(now_); }
+  void on(const Evacuate&) { service_.evacuate(now_), look_at_service(); }
   void on(const Activate&) { service_.activate(now_); }
 
   // timers
@@ -118,6 +119,7 @@
   void due(const Guard& guard);
   void due(const AttemptTimer& timer);
   void due(const Sweep&);
+  void due(const CloseIdle&);
   void due(const StationLook&);
   void due(const EndAll&);
 
@@ -163,7 +165,8 @@
   void spoilt(LinkId link);
   void unusable(lynxstand::QueryId query, Request& request);
   void close_idle(SessionId session);
-  void after_answer(SessionId session, bool floods);
+  void look_at_service();
+  void publish_engines();
   void answered_note(lynxstand::QueryId query, const Attempt& attempt, const EngineAnswer& answer);
   void answered_served(lynxstand::QueryId query, Request& request, EngineAnswer answer);
   void answered_rows(lynxstand::QueryId query, Request& request, EngineAnswer answer);
@@ -196,6 +199,7 @@
   std::uint64_t last_query_ = 0;
   SendTag last_tag_ = 0;
   Service service_;
+  bool closing_ = false;  // a CloseIdle is among the timers
   figures::Figures figures_;
 };
 
--- a/src/manager/requests.cpp
+++ b/src/manager/requests.cpp
@@ -97,16 +97,12 @@
 
 // A client that floods goes only where nothing of it is on the way: what its reader holds, what waits in the
 // inbox and the answers not yet written are owed their answers first. Else it goes with a later answer.
-void Manager::after_answer(SessionId session, bool floods) {
-  if (floods || (service_.closes_idle(now_) && sessions_.name_idle(session))) close_idle(session);
-}
-
 void Manager::refuse(const Arrived& told, Duration come_back_after) {
   const bool advise = config_.settings.may_advise_wait;
   clients_.refuse(told.session, told.call,
                   advise ? std::min(come_back_after, config_.settings.most_wait_advice) : Duration{});
   figures_.ended(static_cast<std::size_t>(told.cls), figures::End::refused);
-  after_answer(told.session, sessions_.answered(now_, told.session));
+  if (sessions_.answered(now_, told.session)) close_idle(told.session);
 }
 
 void Manager::fail(const Arrived& told, std::string_view why) {
@@ -116,7 +112,7 @@
 
 void Manager::on(const BadRequest& bad) {
   clients_.fail(bad.session, bad.call, bad.problem);
-  after_answer(bad.session, sessions_.answered(now_, bad.session));
+  if (sessions_.answered(now_, bad.session)) close_idle(bad.session);
 }
 
 void Manager::on(const ProbeAsked& probe) {
--- a/src/manager/service.cpp
+++ b/src/manager/service.cpp
@@ -32,7 +32,10 @@
 }
 
 void Service::leave(Time now, bool successor, Duration most) {
-  if (leaving()) return;
+  if (leaving()) {
+    if (successor) listen_until_ = std::min(listen_until_, now);
+    return;
+  }
   enter(State::leaving, now);
   end_by_ = successor ? now + std::max(most - kBeforeKill, kBeforeKill) : now + kLeaveEnds;
   listen_until_ = successor ? now : now + kLeaveListens;
--- a/src/manager/service.h
+++ b/src/manager/service.h
@@ -28,9 +28,9 @@
 
   void evacuate(Time now);
   void activate(Time now);
-  // A planned restart. With a successor, which shares the listener, nothing more is accepted here, and what
-  // comes on open connections is served for as long as `most` allows: the time after which the process may be
-  // killed.
+  // A planned restart. Told again, it only hears of a successor that came late. With a successor, which
+  // shares the listener, nothing more is accepted here, and what comes on open connections is served for as
+  // long as `most` allows: the time after which the process may be killed.
   void leave(Time now, bool successor, Duration most);
   void tick(Time now, bool closing);  // closing: some connection is being closed
 
--- a/src/manager/sessions.cpp
+++ b/src/manager/sessions.cpp
@@ -81,12 +81,6 @@
   return session && session->blamed && !session->served && now - *session->blamed < bounds_.suspicion;
 }
 
-bool Sessions::name_idle(SessionId id) {
-  Session* session = find(id);
-  if (!session || session->open > 0 || session->closing) return false;
-  return session->closing = true;
-}
-
 bool Sessions::closing() const {
   return std::any_of(sessions_.begin(), sessions_.end(), [](const auto& s) { return s.second.closing; });
 }
@@ -95,13 +89,13 @@
   if (Session* session = find(id)) session->closing = false;
 }
 
-std::vector<SessionId> Sessions::overdue(Time now, bool all) {
+std::vector<SessionId> Sessions::overdue(Time now, std::optional<Duration> spared) {
   std::vector<SessionId> out;
   for (auto& [id, session] : sessions_) {
     if (session.open > 0 || session.closing) continue;
     const Duration silence = now - (session.answered ? session.last : session.since);
     const Duration usual = session.answered ? bounds_.idle : bounds_.first_within;
-    const bool over = silence >= (!all ? usual : session.answered ? Duration{} : bounds_.fresh);
+    const bool over = silence >= (!spared ? usual : session.answered ? *spared : bounds_.fresh);
     if (over) session.closing = true, out.push_back(id);
   }
   // Where none is accepted any more no new one makes room for itself.
--- a/src/manager/sessions.h
+++ b/src/manager/sessions.h
@@ -42,10 +42,9 @@
   void keep(SessionId id);  // what was named could not be closed: something has come from it
   void end(SessionId id) { sessions_.erase(id); }
   // Those to be closed as they have nothing open: for too long, or, oldest first, as connections run short;
-  // with `all`, each that is not new. Each is named once.
-  std::vector<SessionId> overdue(Time now, bool all);
-  bool name_idle(SessionId id);  // true: nothing is open on it, and it is to be closed; named once
-  bool closing() const;          // is one that was named still there?
+  // with `spared`, each that is not new, after so long with nothing open. Each is named once.
+  std::vector<SessionId> overdue(Time now, std::optional<Duration> spared);
+  bool closing() const;  // is one that was named still there?
   bool empty() const { return sessions_.empty(); }
 
  private:
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -57,7 +57,7 @@
   if (config.listen_fd && !config.shared_folder.empty()) together_.emplace(config.shared_folder);
   // Beside another process this one accepts once it was asked whether it is ready: until then the other one
   // serves.
-  if (!together_ || !config.management || together_->others() == 0) open_gate();
+  if (!together_ || !config.management || !together_->successor()) open_gate();
   if (config.management)
     management_ =
         std::make_unique<Management>(*config.management, manager_.figures(), [this] { open_gate(); });
@@ -109,8 +109,9 @@
   return leave;
 }
 
-// Once a turn, so within a sweep of the core: what the operators want, what they are to see, and whether the
-// process that this one stood beside has gone before anybody asked for the yes.
+// Once a turn, so within a sweep of the core: what the operators want and what they are to see; whether the
+// process that this one stood beside has gone before anybody asked for the yes, or another one serves by now
+// though none did when this one was told to end.
 void Server::heed_operators() {
   if (management_) {
     if (std::exchange(evacuated_, management_->evacuated()) != management_->evacuated()) {
@@ -122,7 +123,11 @@
                          : service.says_yes() ? Management::Standing::ready
                                               : Management::Standing::draining);
   }
-  if (together_ && !alone_ && together_->others() == 0) open_gate(), alone_ = true;
+  if (!together_) return;
+  const bool other = together_->successor();
+  const auto& service = manager_.service();
+  if (service.leaving() && other && service.listens(now())) manager_.handle(now(), leave_as());
+  if (!service.leaving() && !other && !std::exchange(alone_, true)) open_gate();
 }
 
 void Server::run() {
--- /dev/null
+++ b/tests/node/manager_random_test.cpp
@@ -0,0 +1,147 @@
+// The core through random days, against what is owed and what is out.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "core_fixture.h"
+
+namespace yokestream::test {
+namespace {
+
+// Random steps against a model: one answer for each request not given up, and never two attempts of one at
+// once.
+TEST_CASE("whatever happens, each request gets one answer and never has two attempts out") {
+  for (std::uint32_t seed = 1; seed <= 60; ++seed) {
+    Steps steps(seed);
+    Fixture f;
+    std::set<manager::CallId> given_up;
+    std::map<std::string, int> attempts;  // out, by request
+    manager::CallId calls = 0;
+    std::size_t seen = 0;
+    for (int i = 0; i < 300; ++i) {
+      const auto step = steps.below(12);
+      if (step < 3) f.arrive(++calls, static_cast<std::uint32_t>(steps.below(2)));
+      if (step == 3) f.pass(Duration(steps.below(1500) * 1ms));
+      if (step == 4 && calls > 0) {
+        const auto call = 1 + steps.below(calls);
+        if (f.to(call).empty()) given_up.insert(call);
+        f.hear(manager::GaveUp{manager::SessionId{1}, call});
+      }
+      if (step > 4 && !f.out.empty()) {
+        auto it = f.out.begin();
+        std::advance(it, steps.below(f.out.size()));
+        const Core::Out o = it->second;
+        if (step == 5) {
+          f.hear(manager::LinkUp{o.link});
+          it->second.state = Core::Sent::written;
+        } else if (step == 6 && f.links.erase(o.link) > 0) {
+          for (const auto& [tag, other] : f.out) {
+            if (other.link == o.link) attempts[other.id] = 0;
+          }
+          f.hear(manager::LinkEnded{o.link, "reset"});
+        } else if (o.state == Core::Sent::written) {
+          f.out.erase(it);
+          attempts[o.id] = 0;
+          f.answer(o, step < 9 ? AnswerWord::served : step == 9 ? AnswerWord::overload : AnswerWord::crashed);
+        }
+      }
+      for (; seen < f.said.size(); ++seen) {
+        if (f.said[seen].rfind("given up ", 0) == 0) attempts[f.said[seen].substr(9)] = 0;
+        if (f.said[seen].rfind("req ", 0) == 0) CHECK(++attempts[f.said[seen].substr(4)] == 1);
+      }
+    }
+    f.pass(10s);
+    for (manager::CallId call = 1; call <= calls; ++call) {
+      if (!given_up.count(call)) CHECK(f.to(call).size() == 1);
+    }
+    CHECK(f.core.open_requests() == 0);
+    CHECK(f.budget.used() == 0);
+  }
+}
+
+// Clients, connections and engines come and go at random, an engine at the address of one that has gone among
+// them. A session's answers are owed from its request to its end.
+TEST_CASE("through any churn each request taken has one answer by its deadline, unless its client has left") {
+  for (std::uint32_t seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    Steps steps(seed);
+    Fixture f;
+    struct Owed {
+      int session = 0;
+      Time deadline{};
+      bool left = false;
+    };
+    std::map<manager::CallId, Owed> owed;
+    int sessions = 1, engines = 2;
+    std::set<int> there = {1};
+    const auto any = [&](const auto& of) {
+      auto it = of.begin();
+      std::advance(it, steps.below(of.size()));
+      return it;
+    };
+    const auto leave = [&](int session) {
+      for (auto& [call, o] : owed) o.left |= o.session == session;
+      f.hear(manager::SessionEnded{manager::SessionId(session)});
+    };
+    for (int i = 0; i < 400; ++i) {
+      const auto step = steps.below(16);
+      if (step == 0) f.hear(manager::SessionBegan{manager::SessionId(*there.insert(++sessions).first)});
+      if (step == 1 && there.size() > 1) {
+        const auto it = any(there);
+        leave(*it);
+        there.erase(it);
+      }
+      if (step >= 2 && step < 7) {
+        const auto call = static_cast<manager::CallId>(owed.size() + 1);
+        const Duration left = (50 + steps.below(3900)) * 1ms;
+        owed[call] = {*any(there), f.now + left, false};
+        f.arrive(call, static_cast<std::uint32_t>(steps.below(2)), left, owed[call].session);
+      }
+      if (step == 7) f.pass(steps.below(900) * 1ms);
+      if (step == 8) {  // one goes, and another comes to its address or to that of none
+        const auto member = [](int n, const char* port, const char* state) {
+          return R"({"uid":"e)" + std::to_string(n) + R"(","endpoint":"127.0.0.1:)" + port +
+                 R"(","az":"z","model":"m","state":")" + state + R"(","boot_ms":)" + std::to_string(n) + "}";
+        };
+        const char* port = steps.below(2) ? "7001" : "7002";
+        f.list(member(engines, port, steps.below(2) ? "removed" : "draining") + "," +
+               member(engines + 1, port, "up"));
+        ++engines;
+      }
+      if (step > 8 && !f.links.empty()) {
+        const auto link = *any(f.links);
+        if (step < 11) {
+          f.hear(manager::LinkUp{link});
+          for (auto& [tag, o] : f.out) {
+            if (o.link == link) o.state = Core::Sent::written;
+          }
+        } else if (step == 11) {
+          f.links.erase(link);
+          f.hear(manager::LinkEnded{link, "reset"});
+        } else if (step == 12) {
+          f.confirm(link, "alive");
+        }
+      }
+      if (step > 12 && !f.out.empty()) {
+        const auto it = any(f.out);
+        const Core::Out o = it->second;
+        if (o.state != Core::Sent::written) continue;
+        const auto pages = static_cast<std::uint32_t>(1 + steps.below(2));
+        if (pages == 1) f.out.erase(it);
+        f.answer(o, step < 15 ? AnswerWord::served : AnswerWord::crashed, pages, 0, "a\tb\tc\n");
+      }
+    }
+    f.pass(5s);
+    for (const auto& [call, o] : owed) {
+      CAPTURE(call);
+      const auto& to = f.to(call, o.session);
+      if (!o.left) REQUIRE(to.size() == 1);
+      CHECK(to.size() <= 1);
+      for (const auto& reply : to) CHECK((reply.at <= o.deadline));
+    }
+    CHECK(f.core.open_requests() == 0);
+  }
+}
+
+}  // namespace
+}  // namespace yokestream::test
--- /dev/null
+++ b/tests/node/net_client_test.cpp
@@ -0,0 +1,102 @@
+// Client sessions: who reads them, what bounds them, when they may be closed.
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+
+#include "net_reading.h"
+#include "net_system.h"
+
+namespace yokestream::test {
+namespace {
+
+// Found on the bench: on a machine out of threads such a client's connection was closed upon its open
+// requests.
+TEST_CASE("a busy client for whom no reader is to be had is read on where it was, and loses nothing") {
+  Reading reading(0);
+  Listening listening;
+  Peer client(listening.at);
+  Fd fd(::accept(listening.fd.get(), nullptr, nullptr));
+  const int descriptor = fd.get();
+  const auto session = reading.session(std::move(fd));
+  for (int number = 1; number <= 5; ++number) {
+    client.say(call(number, "0123456789abcde" + std::to_string(number), "select 1"));
+    char first = 0;
+    REQUIRE(::recv(descriptor, &first, 1, MSG_PEEK) == 1);
+    CHECK((session->look(net::now(), true) == net::Watched::Look::again));
+    REQUIRE(reading.inbox.take_until(Time::max()).size() == 1);
+    session->taken();
+    session->serve(static_cast<manager::CallId>(number), {"row" + std::to_string(number), {}});
+    CHECK(client.until("row" + std::to_string(number)));
+  }
+}
+
+TEST_CASE("a client of which something has come is not closed as idle, be it unread, half read or waiting") {
+  Reading reading(1);
+  Listening listening;
+  Peer client(listening.at);
+  Fd fd(::accept(listening.fd.get(), nullptr, nullptr));
+  client.say(call(1, "0123456789abcdef", "select 1") + "\x94");  // and the start of a next one
+  char first = 0;
+  REQUIRE(::recv(fd.get(), &first, 1, MSG_PEEK) == 1);
+  const auto session = reading.session(std::move(fd));
+  CHECK_FALSE(session->break_off_idle());  // unread: nobody reads yet
+  CHECK((session->look(net::now(), true) == net::Watched::Look::again));
+  CHECK(reading.inbox.take_until(Time::max()).size() == 1);
+  CHECK_FALSE(session->break_off_idle());  // handed in, and not taken yet
+  session->taken();
+  CHECK_FALSE(session->break_off_idle());  // half read
+  CHECK((session->due() != Time::max()));  // it has until then to be whole
+  CHECK((session->look(session->due(), false) == net::Watched::Look::ended));
+}
+
+// Its connection was closed upon what it had open.
+TEST_CASE("a client for whose next message there is no memory is read on when there is some") {
+  Reading reading(1);
+  Pair pair;
+  const auto session = reading.session(Fd(::dup(pair.socket.descriptor())));
+  const auto read = [&] {  // the first byte has come, and with it all that was written at once
+    char first = 0;
+    REQUIRE(::recv(pair.socket.descriptor(), &first, 1, MSG_PEEK) == 1);
+    return session->look(net::now(), true);
+  };
+  manager::Reservation rest;
+  REQUIRE(reading.budget.take(rest, (1 << 20) - 10));
+  const std::string bytes = call(1, "0123456789abcdef", "select 1");
+  pair.peer.say(bytes.substr(0, 20));
+  CHECK((read() == net::Watched::Look::later));
+  CHECK((session->due() != Time::max()));
+  rest = {};
+  CHECK((session->look(session->due(), false) == net::Watched::Look::again));
+  pair.peer.say(bytes.substr(20));
+  CHECK((read() == net::Watched::Look::again));
+  CHECK(reading.inbox.take_until(Time::max()).size() == 1);
+}
+
+TEST_CASE("what comes on a connection that is broken off is not read") {
+  Listening listening;
+  Peer client(listening.at);
+  Socket accepted(Fd(::accept(listening.fd.get(), nullptr, nullptr)));
+  client.say("late");
+  char bytes[16];
+  REQUIRE(::recv(accepted.descriptor(), bytes, 1, MSG_PEEK) == 1);  // it has come
+  CHECK_FALSE(accepted.break_off_unread([] { return true; }));
+  accepted.break_off();
+  CHECK(accepted.read_now(bytes, sizeof bytes) == std::size_t{0});
+}
+
+// A writer thread of its own was started for it, and where none could be had the connection was closed.
+TEST_CASE("a client that is slow to read gets all its answers though no thread can be had") {
+  spared = false;
+  Reading reading(0);
+  Pair pair;
+  const auto session = reading.session(Fd(::dup(pair.socket.descriptor())));
+  short_of_all = 100;
+  for (manager::CallId call = 1; call <= 40; ++call)
+    session->serve(call, {std::string(40'000, static_cast<char>('0' + call)), {}});
+  short_of_all = 0;
+  CHECK_FALSE(session->break_off_idle());
+  for (char call = 1; call <= 40; ++call)
+    CHECK(pair.peer.until(std::string(40'000, static_cast<char>('0' + call))));
+}
+
+}  // namespace
+}  // namespace yokestream::test
--- /dev/null
+++ b/tests/node/net_peers.h
@@ -0,0 +1,103 @@
+// The other ends of the drivers' connections, and a whole manager in the test's own process.
+#pragma once
+
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+
+#include <memory>
+#include <string>
+
+#include "helper.h"
+#include "net/server.h"
+
+namespace yokestream::test {
+
+using net::Fd;
+using net::Socket;
+
+// The other end of a connection.
+struct Peer {
+  explicit Peer(Fd fd) : socket(std::move(fd)) {}
+  explicit Peer(const config::Endpoint& to) {
+    std::string why;
+    REQUIRE(socket.connect(to, Time::max(), &why));
+  }
+  // Reads until `what` has come; false: the connection ended first.
+  bool until(const std::string& what) {
+    char bytes[4096];
+    std::size_t from = 0;  // no byte is looked at twice, but for the start of `what`
+    for (std::size_t size = 1; size > 0; came.append(bytes, size)) {
+      if (const auto at = came.find(what, from); at != std::string::npos)
+        return came.erase(0, at + what.size()), true;
+      from = came.size() < what.size() ? 0 : came.size() - what.size();
+      size = socket.read_until(bytes, sizeof bytes, Time::max());
+    }
+    return false;
+  }
+  void say(const std::string& bytes) { CHECK(socket.write(bytes) == Socket::Written::all); }
+  Socket socket;
+  std::string came;
+};
+
+struct Listening {
+  Fd fd = net::listen_on({"127.0.0.1", 0});
+  config::Endpoint at = net::local_endpoint(fd);
+  Peer accept() { return Peer(Fd(::accept(fd.get(), nullptr, nullptr))); }
+};
+
+struct Quiet : manager::Log {
+  void note(std::string_view) override {}
+};
+
+inline std::string event(int number, const std::string& uid, const config::Endpoint& at) {
+  return "id: " + std::to_string(number) + "\ndata: {\"n\":" + std::to_string(number) +
+         R"(,"members":{"all":false,"targets":[{"uid":")" + uid + R"(","endpoint":")" + to_string(at) +
+         R"(","az":"z","model":"m","state":"up"}]}})" + "\n\n";
+}
+
+inline std::string call(int number, const std::string& id, const std::string& statement) {
+  const auto text = [](const std::string& t) { return static_cast<char>(0xa0 | t.size()) + t; };
+  std::string out{'\x94', '\x00', static_cast<char>(number)};
+  out += text("look") + "\x92\x83" + text("req") + text(id) + text("timeout") + text("4000") + text("owner") +
+         text("acme");
+  return out + '\xc4' + static_cast<char>(statement.size()) + statement;
+}
+
+struct Running {
+  explicit Running(const config::Endpoint& engine, const config::Endpoint* feed = nullptr)
+      : config(config::decode_config(config_text("127.0.0.1:0", to_string(engine)))) {
+    if (feed) config.feed = *feed;
+    server.emplace(config, log);
+  }
+  ~Running() {
+    server->leave();
+    server->wait();
+  }
+  config::Config config;
+  Quiet log;
+  std::optional<net::Server> server;
+};
+
+// One request of one client is out at the engine.
+struct OneOut {
+  OneOut() : link((client.say(call(1, "0123456789abcdef", "select 1")), engine.accept())) {
+    REQUIRE(link.until("select 1"));
+  }
+  Listening engine;
+  Running running{engine.at};
+  Peer client{running.server->endpoint()};
+  Peer link;
+};
+
+// A connected pair; what one end writes the other reads only when it is told to.
+struct Pair {
+  Pair() : peer(listening.at), socket(Fd(::accept(listening.fd.get(), nullptr, nullptr))) {
+    const int small = 4096;
+    setsockopt(socket.descriptor(), SOL_SOCKET, SO_SNDBUF, &small, sizeof small);
+  }
+  Listening listening;
+  Peer peer;
+  net::Socket socket;
+};
+
+}  // namespace yokestream::test
--- /dev/null
+++ b/tests/node/net_sender_test.cpp
@@ -0,0 +1,94 @@
+// What leaves on one connection, and at what pace one is read.
+#include <doctest/doctest.h>
+
+#include "net/pace.h"
+#include "net_peers.h"
+
+namespace yokestream::test {
+namespace {
+
+TEST_CASE("beyond a burst messages are taken in at a steady pace, for a client that is never served") {
+  net::Pace pace(3, 10ms);
+  const Time start{1000s};
+  for (int i = 0; i < 3; ++i) {
+    CHECK((pace.next_at(start) == start));
+    pace.took(start);
+  }
+  CHECK((pace.next_at(start) == start + 10ms));
+  CHECK((pace.next_at(start + 10ms) == start + 10ms));
+  pace.took(start + 10ms);
+  CHECK((pace.next_at(start + 10ms) == start + 20ms));
+}
+
+// A sender whose peer a poller of its own writes to while it is slow.
+struct Sending {
+  explicit Sending(std::size_t bound);
+  Pair pair;
+  net::Poller writer{"writer"};
+  std::shared_ptr<net::Sender<struct Written>> sender;
+};
+
+struct Written {  // an item of a sender: a text that stands `times` times
+  int number = 0;
+  std::size_t times = 1;
+};
+std::string word(const Written& item) {
+  std::string out;
+  for (std::size_t i = 0; i < item.times; ++i) out += "<" + std::to_string(item.number) + ">";
+  return out;
+}
+
+Sending::Sending(std::size_t bound)
+    : sender(std::make_shared<net::Sender<Written>>(bound, pair.socket, word,
+                                                    [this] { writer.admit(sender); })) {}
+
+TEST_CASE("a request that the socket did not take is found again as never sent") {
+  Sending sending(1000);
+  Pair& pair = sending.pair;
+  auto& sender = *sending.sender;
+  const auto is = [](int n) { return [n](const Written& i) { return i.number == n; }; };
+  CHECK(sender.add({1}, 10));  // not up yet
+  CHECK(sender.withdraw(is(1)));
+  sender.open();
+  CHECK(sender.add({2}, 10));
+  CHECK_FALSE(sender.withdraw(is(2)));  // it has left
+  pair.socket.break_off();
+  CHECK_FALSE(sender.add({3}, 10));
+  CHECK(sender.withdraw(is(3)));
+  sender.close();
+  CHECK_FALSE(sender.add({4}, 10));
+  CHECK(sender.withdraw(is(4)));
+  CHECK(pair.peer.until("<2>"));
+}
+
+// Found on the bench: the link was reset between its opening and the first write, and the loop held the lock.
+TEST_CASE("a connection that breaks before what waits has left gives it back and holds nobody up") {
+  Sending sending(1000);
+  Pair& pair = sending.pair;
+  auto& sender = *sending.sender;
+  CHECK(sender.add({1}, 10));
+  CHECK(sender.add({2}, 10));
+  pair.socket.break_off();
+  sender.open();
+  for (int n = 1; n <= 2; ++n) CHECK(sender.withdraw([n](const Written& i) { return i.number == n; }));
+}
+
+TEST_CASE(
+    "who adds never waits for a slow peer, all leaves in order, and over the bound the sender refuses") {
+  Sending sending(2000);
+  Pair& pair = sending.pair;
+  auto& sender = *sending.sender;
+  sender.open();
+  CHECK(sender.idle());
+  const std::size_t large = 200'000;  // more than any socket takes
+  CHECK(sender.add({1, large}, 1000));
+  CHECK_FALSE(sender.idle());
+  for (int i = 2; i <= 3; ++i) CHECK(sender.add({i}, 900));
+  CHECK_FALSE(sender.add({4}, 900));
+  sender.finish();
+  CHECK(pair.peer.until("<1><2><3>"));
+  CHECK_FALSE(pair.peer.until("<4>"));  // and the connection ends
+}
+
+}  // namespace
+}  // namespace yokestream::test
--- a/tests/node/service_test.cpp
+++ b/tests/node/service_test.cpp
@@ -75,6 +75,8 @@
   CHECK_FALSE(said(c, "close 1"));  // it has one open still
   c.answer(c.only(), AnswerWord::served, 1, 0, "a\tb\tc\n");
   CHECK(c.to(2).back().kind == "served");
+  CHECK_FALSE(said(c, "close 1"));  // who asks again at once is not cut off just then
+  c.pass(60ms);
   CHECK(said(c, "close 1"));
   c.hear(manager::SessionEnded{manager::SessionId{1}});
   c.pass(2s);
@@ -117,6 +119,7 @@
   c.arrive(1, 0, 4s, 2);
   c.answer(c.written(), AnswerWord::served, 1, 0, "a\tb\tc\n");
   CHECK(c.to(1, 2).back().kind == "served");
+  c.pass(60ms);
   CHECK(said(c, "close 2"));
 }
 
--- /dev/null
+++ b/tests/node/sessions_test.cpp
@@ -0,0 +1,61 @@
+// Client connections: who is closed, and when.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "core_fixture.h"
+
+namespace yokestream::test {
+namespace {
+
+TEST_CASE_FIXTURE(Fixture,
+                  "a client that asks for nothing is closed, one with something open or on its way is not") {
+  const auto session = [](int n) { return manager::SessionId(n); };
+  arrive(1);
+  for (const int n : {2, 3}) hear(manager::SessionBegan{session(n)});
+  busy.insert(session(3));
+  pass(2500ms);
+  CHECK(count("close 1") + count("close 3") == 0);
+  CHECK(count("close 2") == 1);
+  busy.clear();
+  hear(manager::ProbeAsked{session(3), 1});
+  pass(5s);
+  CHECK(count("close 3") == 0);
+  pass(2s);
+  CHECK(count("close 3") == 1);
+}
+
+TEST_CASE("when connections run short, who was never answered goes first, and who has something open stays") {
+  manager::Sessions sessions({4, 32, 8, 2s, 6s, 1s, 3});
+  const auto id = [](int n) { return manager::SessionId(n); };
+  const Time at{1000s};
+  for (int n = 1; n <= 3; ++n) CHECK_FALSE(sessions.begin(at + n * 1ms, id(n)).has_value());
+  sessions.opened(at, id(1));
+  sessions.served(at, id(2));
+  CHECK((sessions.begin(at, id(4)) == id(3)));
+  sessions.end(id(3));
+  CHECK((sessions.begin(at, id(5)) == id(4)));
+  CHECK((sessions.begin(at, id(6)) == id(5)));
+  sessions.keep(id(4));  // something had come from it
+  CHECK((sessions.begin(at, id(7)) == id(4)));
+}
+
+TEST_CASE("a client that is answered often and never served floods, and without new ones the idle still go") {
+  manager::Sessions sessions({4, 32, 8, 2s, 6s, 1s, 3});
+  const auto id = [](int n) { return manager::SessionId(n); };
+  const Time at{1000s};
+  for (int n = 1; n <= 3; ++n) sessions.begin(at, id(n));
+  sessions.served(at, id(1));
+  for (int n = 0; n < 5; ++n) CHECK_FALSE(sessions.answered(at, id(1)));
+  CHECK_FALSE(sessions.answered(at, id(2)));
+  CHECK_FALSE(sessions.answered(at, id(2)));
+  sessions.opened(at, id(2));
+  CHECK_FALSE(sessions.answered(at, id(2)));  // what is open is owed its answer first
+  sessions.closed(at, id(2));
+  CHECK(sessions.answered(at, id(2)));
+  sessions.opened(at, id(3));
+  CHECK((sessions.overdue(at, std::nullopt) == std::vector{id(2)}));
+}
+
+}  // namespace
+}  // namespace yokestream::test
--- /dev/null
+++ b/tests/processes/program.cpp
@@ -0,0 +1,110 @@
+#include "program.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+#include <vector>
+
+namespace yokestream::test {
+namespace {
+
+constexpr int kHandedDown = 4;
+
+}  // namespace
+
+Folder::Folder() {
+  std::string path = (std::filesystem::temp_directory_path() / "yokestream-XXXXXX").string();
+  if (!::mkdtemp(path.data())) throw std::runtime_error("no folder");
+  path_ = path;
+}
+Folder::~Folder() { std::filesystem::remove_all(path_); }
+
+Program::Program(const Folder& folder, const std::string& config, int listener,
+                 std::map<std::string, std::string> environment) {
+  static int count = 0;
+  const std::string path = folder.path() + "/config-" + std::to_string(++count) + ".json";
+  std::ofstream(path) << config;
+  environment.emplace("TMPDIR", folder.path());
+  if (listener >= 0) environment.emplace("RELAY_LISTEN_FD", std::to_string(kHandedDown));
+  std::vector<std::string> words;
+  for (const auto& [name, value] : environment) words.push_back(name + "=" + value);
+  std::vector<char*> pointers;
+  for (auto& word : words) pointers.push_back(word.data());
+  pointers.push_back(nullptr);
+  int pipe[2];
+  if (::pipe2(pipe, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
+  child_ = ::fork();
+  if (child_ == 0) {
+    ::dup2(pipe[1], 2);
+    if (listener >= 0) ::dup2(listener, kHandedDown);
+    ::execle(YOKESTREAM_PROGRAM, "yokestream", "serve", "-c", path.c_str(), nullptr, pointers.data());
+    ::_exit(127);
+  }
+  ::close(pipe[1]);
+  notes_ = ::fdopen(pipe[0], "r");
+}
+
+Program::~Program() {
+  if (!over_) ::kill(child_, SIGKILL), ended();
+  std::fclose(notes_);
+}
+
+bool Program::until(const std::string& what) {
+  char line[1024];
+  while (std::fgets(line, sizeof line, notes_)) {
+    said_ += line;
+    if (std::string(line).find(what) != std::string::npos) return true;
+  }
+  return false;
+}
+
+config::Endpoint Program::operators() {
+  constexpr const char* kWords = "operators on ";
+  if (door_.port == 0 && until(kWords)) {
+    const auto at = said_.rfind(kWords) + std::string(kWords).size();
+    door_ = config::parse_endpoint("door", said_.substr(at, said_.find_first_of(" \n", at) - at));
+  }
+  return door_;
+}
+
+void Program::tell(int signal) const { ::kill(child_, signal); }
+
+int Program::ended() {
+  if (!over_) {
+    int status = 0;
+    ::waitpid(child_, &status, 0);
+    over_ = true;
+    status_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  }
+  return status_;
+}
+
+std::string ask(const config::Endpoint& door, const std::string& line) {
+  net::Socket socket;
+  std::string why, answer;
+  if (!socket.connect(door, net::Time::max(), &why)) return {};
+  if (socket.write(line + "\n") != net::Socket::Written::all) return {};
+  char bytes[4096];
+  while (const auto size = socket.read_until(bytes, sizeof bytes, net::Time::max()))
+    answer.append(bytes, size);
+  return answer;
+}
+
+void ask_until(const config::Endpoint& door, const std::string& line, const std::string& begins) {
+  while (ask(door, line).rfind(begins, 0) != 0) std::this_thread::yield();
+}
+
+long figure(const config::Endpoint& door, const std::string& name) {
+  const std::string text = ask(door, "telemetry");
+  const auto at = text.find("edge_relay." + name + ":");
+  return at == std::string::npos ? -1 : std::stol(text.substr(text.find(':', at) + 1));
+}
+
+}  // namespace yokestream::test
