--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -37,6 +37,7 @@
   if (error != std::errc() || end != listener.data() + listener.size() || !net::is_listener(fd))
     throw config::ConfigError("RELAY_LISTEN_FD", "not the number of a listening socket");
   config.listen_fd = fd;
+  config.limits.processes = 2;
   config.shared_folder = environment("TMPDIR");
 }
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -16,13 +16,16 @@
 struct Limits {
   std::size_t memory_mb = 192;
   std::size_t sockets = 1024;
-  std::size_t door = 0;  // descriptors of the operators' door, where there is one
+  std::size_t processes = 1;  // that may stand beside each other: two where the listener is handed down
+  std::size_t door = 0;       // descriptors of the operators' door, where there is one
 
   // How the descriptors are shared out. Usual clients hold a third of them at most; each connection also
-  // costs its buffers, some 40 KB.
-  std::size_t links() const { return std::min(sockets / 3, memory_mb * 3); }
+  // costs its buffers, some 40 KB. Where two processes may stand beside each other, each has half of the
+  // links and descriptors of its own, and the connections of clients are counted together
+  // (src/net/together.h).
+  std::size_t links() const { return std::min(sockets / (3 * processes), memory_mb * 3); }
   std::size_t sessions() const {
-    return std::min(sockets - links() - kOtherDescriptors - door, memory_mb * 6);
+    return std::min(sockets - processes * (links() + kOtherDescriptors + door), memory_mb * 6);
   }
 
   static constexpr std::size_t kOtherDescriptors = 18;  // the listener, the feed, the pollers, files
--- a/src/manager/budget.h
+++ b/src/manager/budget.h
@@ -1,6 +1,7 @@
 // A bound on the memory that statements and results take together.
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <cstddef>
 #include <utility>
@@ -34,7 +35,7 @@
   explicit Budget(std::size_t bytes) : limit_(bytes) {}
   // Adds to what `held` holds already. False: there is not so much left, and nothing was taken.
   bool take(Reservation& held, std::size_t bytes) {
-    if (used_.fetch_add(bytes) + bytes > limit_) {
+    if (used_.fetch_add(bytes) + bytes > limit_ - std::min(limit_, aside_.load())) {
       used_ -= bytes;
       return false;
     }
@@ -43,11 +44,13 @@
     return true;
   }
   std::size_t used() const { return used_; }
+  // So much of it is another's for now; what is taken already stays.
+  void set_aside(std::size_t bytes) { aside_ = bytes; }
 
  private:
   friend class Reservation;
   const std::size_t limit_;
-  std::atomic<std::size_t> used_{0};
+  std::atomic<std::size_t> used_{0}, aside_{0};
 };
 
 inline Reservation::~Reservation() {
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -17,6 +17,7 @@
 // most so much counted, and this.
 constexpr Duration kLongestCounted = std::chrono::seconds(5);
 constexpr Duration kKillAfter = milliseconds(700);
+constexpr Duration kLookAtOthers = milliseconds(100);
 constexpr Duration kSlowTurn = milliseconds(40);
 // For answers that are queued when all is over. Guards them against a writer that does not run for a moment:
 // a part of a core is shared by all. Still before the kill, 3.7 s after the word to leave.
@@ -114,7 +115,8 @@
 // though none did when this one was told to end.
 void Server::heed_operators() {
   if (management_) {
-    if (std::exchange(evacuated_, management_->evacuated()) != management_->evacuated()) {
+    const bool wanted = management_->evacuated();
+    if (std::exchange(evacuated_, wanted) != wanted) {
       manager_.handle(now(), evacuated_ ? manager::Event(manager::Evacuate{}) : manager::Activate{});
       log_.note(evacuated_ ? "clients are sent away" : "clients are wanted back");
     }
@@ -123,7 +125,16 @@
                          : service.says_yes() ? Management::Standing::ready
                                               : Management::Standing::draining);
   }
-  if (!together_) return;
+  if (together_ && now() >= next_look_) look_at_others();
+}
+
+// Ten times a second. What others hold of the clients' connections and of the memory is theirs, not ours.
+void Server::look_at_others() {
+  next_look_ = now() + kLookAtOthers;
+  together_->tell({slots_.used(), budget_.used()});
+  const auto theirs = together_->others();
+  slots_.set_aside(theirs.sessions);
+  budget_.set_aside(theirs.bytes);
   const bool other = together_->successor();
   const auto& service = manager_.service();
   if (service.leaving() && other && service.listens(now())) manager_.handle(now(), leave_as());
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -37,6 +37,7 @@
   void close_sessions();
   void open_gate();
   void heed_operators();
+  void look_at_others();
   manager::Leave leave_as() const;
 
   void serve(manager::SessionId session, manager::CallId call, manager::Result result) override;
@@ -79,6 +80,7 @@
   Gate gate_;
   std::unique_ptr<Listener> listener_;
   std::optional<Together> together_;        // where processes may share the listener
+  Time next_look_{};                        // at the others; the core's thread only
   bool alone_ = false;                      // the core's thread only, as the next: others have gone
   bool evacuated_ = false;                  // the core's thread only: the wish that it has carried out
   std::unique_ptr<Management> management_;  // its thread reads the core's figures, and opens the gate
--- a/src/net/together.cpp
+++ b/src/net/together.cpp
@@ -1,6 +1,7 @@
 #include "net/together.h"
 
 #include <fcntl.h>
+#include <unistd.h>
 
 #include <cerrno>
 #include <system_error>
@@ -19,6 +20,10 @@
   return lock;
 }
 
+off_t record_of(int place) {
+  return 2 * Together::kMost + place * static_cast<off_t>(sizeof(Together::Holds));
+}
+
 }  // namespace
 
 // Locks of the open file, not of the process: the latter would go when any descriptor of the file is closed.
@@ -39,15 +44,26 @@
   }
   if (!file_ || place_ == kMost)
     throw std::system_error(errno, std::generic_category(), "cannot tell who else serves, in " + folder);
+  tell({});  // what an earlier process left in this place is not ours
 }
 
 void Together::say_yes() { lock(kMost + place_, F_WRLCK); }
 void Together::step_down() { lock(kMost + place_, F_UNLCK); }
 
-int Together::others() const {
-  int count = 0;
-  for (int place = 0; place < kMost; ++place) count += place != place_ && held_by_other(place);
-  return count;
+void Together::tell(const Holds& own) {
+  [[maybe_unused]] const auto written = ::pwrite(file_.get(), &own, sizeof own, record_of(place_));
+}
+
+// What a dead process told counts no more: its lock has gone with it.
+Together::Holds Together::others() const {
+  Holds sum;
+  for (int place = 0; place < kMost; ++place) {
+    Holds other;
+    if (place == place_ || !held_by_other(place)) continue;
+    if (::pread(file_.get(), &other, sizeof other, record_of(place)) != sizeof other) continue;
+    sum.sessions += other.sessions, sum.bytes += other.bytes;
+  }
+  return sum;
 }
 
 bool Together::successor() const {
--- a/src/net/together.h
+++ b/src/net/together.h
@@ -1,4 +1,5 @@
-// The processes of one workload manager during an upgrade: how many there are, and which of them say yes.
+// The processes of one workload manager during an upgrade: who is there, which of them say yes, and what they
+// hold of what is limited for all together.
 //
 // Each holds byte locks on one file in the folder that they share: one for being there, one for accepting
 // clients. The system lets go of them with the process, however it ends, so nothing stale is left by a dead
@@ -6,6 +7,7 @@
 // rest by the core's.
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 #include "net/socket.h"
@@ -19,8 +21,13 @@
   explicit Together(const std::string& folder);  // throws std::system_error
   void say_yes();                                // this process accepts clients
   void step_down();                              // no more
-  int others() const;                            // that are there
   bool successor() const;                        // does another one accept clients?
+  // What this process holds, for the others; and what all others that are there hold.
+  struct Holds {
+    std::uint64_t sessions = 0, bytes = 0;
+  };
+  void tell(const Holds& own);
+  Holds others() const;
 
  private:
   bool lock(int byte, short kind);
--- a/tests/processes/program.h
+++ b/tests/processes/program.h
@@ -35,12 +35,15 @@
   bool until(const std::string& what);  // reads what it says up to a line with this; false: it ended first
   config::Endpoint operators();         // once it serves: its door
   void tell(int signal) const;
-  int ended();  // waits for its end: the exit status, or minus the signal
+  bool has_ended();  // without waiting
+  int ended();       // waits for its end: the exit status, or minus the signal
   const std::string& said() const { return said_; }
 
  private:
   pid_t child_ = -1;
   std::FILE* notes_ = nullptr;
+  bool reap(int options);
+
   std::string said_;
   config::Endpoint door_;
   bool over_ = false;
