--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -16,18 +16,13 @@
 
 constexpr Duration kDescriptorPause = std::chrono::milliseconds(10);  // when none is free
 
-void raise(const Fd& event) {
-  const std::uint64_t one = 1;
-  [[maybe_unused]] const auto written = ::write(event.get(), &one, sizeof one);
-}
-
 }  // namespace
 
 Gate::Gate() : opened_(::eventfd(0, EFD_CLOEXEC)) {
   if (!opened_) throw std::system_error(errno, std::generic_category(), "cannot wait for clients");
 }
 
-void Gate::open() { raise(opened_); }
+void Gate::open() { raise_event(opened_); }
 
 Listener::Listener(const config::Config& config, const Gate& gate, manager::Budget& slots,
                    manager::Budget& budget, Inbox& inbox, Readers& readers, manager::Log& log)
@@ -45,7 +40,7 @@
   thread_ = Thread("listener", kSmallStack, [this] { accept_all(); });
 }
 
-Listener::~Listener() { raise(over_); }
+Listener::~Listener() { raise_event(over_); }
 
 // Guards the end: whoever waits in accept() itself is not woken by the end of the listener on every platform.
 bool Listener::wait_until(Time deadline, const Fd* news) {
--- a/src/net/poller.cpp
+++ b/src/net/poller.cpp
@@ -37,10 +37,7 @@
   thread_.join();
 }
 
-void Poller::wake() {
-  const std::uint64_t one = 1;
-  [[maybe_unused]] const auto written = ::write(wake_.get(), &one, sizeof one);
-}
+void Poller::wake() { raise_event(wake_); }
 
 void Poller::admit(std::weak_ptr<Watched> connection) {
   {
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -44,6 +44,11 @@
   if (fd_ >= 0) ::close(fd_);
 }
 
+void raise_event(const Fd& event) {
+  const std::uint64_t one = 1;
+  [[maybe_unused]] const auto written = ::write(event.get(), &one, sizeof one);
+}
+
 bool Socket::open_new(int type) {
   const std::lock_guard lock(mutex_);
   if (broken_) return false;
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -29,6 +29,9 @@
   int fd_ = -1;
 };
 
+// Makes an eventfd readable: whoever waits on it goes on.
+void raise_event(const Fd& event);
+
 // A connected socket that one thread reads, one writes and a third may break off. The descriptor itself is
 // closed only with the object, when no thread uses it any more.
 class Socket {
