Hand on what was learnt to the new process of an upgrade; two processes keep one ration

Change: what the module has learnt is a value (include/lynxstand/learnt.h). The process that serves writes it once a second, from a thread of its own, into the shared folder; the new one checks it (form, names, checksum, age) and begins with it. While another process accepts or holds clients, each counts as one of twice the managers: ration at cold engines, bound's share, part of every engine. Both only where the listener is handed down; elsewhere the core's actions are the same.

--- a/include/lynxstand/admission.h
+++ b/include/lynxstand/admission.h
@@ -20,6 +20,7 @@
 #include <variant>
 #include <vector>
 
+#include "lynxstand/learnt.h"
 #include "lynxstand/settings.h"
 
 namespace lynxstand {
@@ -156,6 +157,16 @@
   // Engines that the list names and that get no query for now: they drain, are shunned, or were full.
   std::size_t avoided() const;
 
+  // What it has learnt so far; and what another one had learnt `age` ago, on the same clock, taken over
+  // before the first event. False, and nothing changes: it does not fit the settings (another number of
+  // classes or kinds, a number that is none), or events have come. An engine that was started since begins
+  // with its kind's weights alone.
+  Learnt learnt() const;
+  bool take_over(const Learnt& learnt, Duration age);
+  // From now on this front's part of the load is taken as one over `now_there` at least (1 or more, else
+  // nothing is defined); until then that is Settings::fronts. For fronts that come and go.
+  void count_fronts(double now_there);
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -61,7 +61,8 @@
 }  // namespace
 
 Manager::Manager(const config::Config& config, Time now, Directory::FromUnix from_unix, Budget& budget,
-                 ClientPort& clients, EnginePort& engines, Log& log)
+                 ClientPort& clients, EnginePort& engines, Log& log,
+                 std::optional<learnt::Inherited> inherited)
     : config_(config),
       budget_(budget),
       clients_(clients),
@@ -73,6 +74,12 @@
       controller_(module_settings(config), config.seed, now),
       now_(now),
       figures_(config.real.classes) {
+  if (inherited) {
+    const bool taken = controller_.take_over(inherited->learnt, inherited->age);
+    log_.note(taken ? "took over what another process learnt of " +
+                          std::to_string(inherited->learnt.engines.size()) + " engines"
+                    : "what another process learnt is not taken over: it makes no sense here");
+  }
   bool first = true;
   for (const auto& event : config.known) tell(directory_.apply(now, event, std::exchange(first, false)));
   if (config.door.on)
@@ -84,6 +91,11 @@
   publish_engines();
 }
 
+void Manager::serve_beside(std::size_t others) {
+  if (std::exchange(beside_, others) == others) return;
+  controller_.count_fronts(static_cast<double>(config_.settings.fronts) * static_cast<double>(1 + others));
+}
+
 void Manager::step(Time now) { now_ = std::max(now_, now); }
 
 void Manager::handle(Time now, Event event) {
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -12,6 +12,7 @@
 #include "config/config.h"
 #include "door/door.h"
 #include "figures/figures.h"
+#include "learnt/codec.h"
 #include "lynxstand/admission.h"
 #include "manager/directory.h"
 #include "manager/links.h"
@@ -25,7 +26,8 @@
 class Manager {
  public:
   Manager(const config::Config& config, Time now, Directory::FromUnix from_unix, Budget& budget,
-          ClientPort& clients, EnginePort& engines, Log& log);
+          ClientPort& clients, EnginePort& engines, Log& log,
+          std::optional<learnt::Inherited> inherited = std::nullopt);
 
   // Takes in what a reload may change of the door: weights, times and hints.
   void configure(Time now, const door::Settings& door);
@@ -39,6 +41,11 @@
   void tick(Time now);    // does what has fallen due
   Time next_due() const;  // when tick() has something to do
 
+  // What the module has learnt, for a process that takes over; and that `others` of this manager serve beside
+  // this one, each with its part of the load.
+  lynxstand::Learnt learnt() const { return controller_.learnt(); }
+  void serve_beside(std::size_t others);
+
   std::size_t open_requests() const { return calls_.size(); }
   const Service& service() const { return service_; }
   figures::Figures& figures() { return figures_; }  // any thread may read them, while this lives
@@ -194,6 +201,7 @@
   Timers::iterator station_look_ = timers_.end();
   Time next_station_note_{};
   std::uint64_t noted_turned_away_ = 0, noted_waited_ = 0;
+  std::size_t beside_ = 0;             // processes of this manager
   std::deque<lynxstand::Event> told_;  // what the controller is yet to hear
   std::vector<lynxstand::Action> actions_;
   std::uint64_t last_query_ = 0;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -22,7 +22,10 @@
   if (!opened_) throw std::system_error(errno, std::generic_category(), "cannot wait for clients");
 }
 
-void Gate::open() { raise_event(opened_); }
+void Gate::open() {
+  open_ = true;
+  raise_event(opened_);
+}
 
 Listener::Listener(const config::Config& config, const Gate& gate, manager::Budget& slots,
                    manager::Budget& budget, Inbox& inbox, Readers& readers, manager::Log& log)
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -1,6 +1,7 @@
 // Accepts clients, and takes leave of what has ended.
 #pragma once
 
+#include <atomic>
 #include <memory>
 #include <variant>
 
@@ -17,9 +18,11 @@
   Gate();  // throws std::system_error
   void open();
   const Fd& opened() const { return opened_; }  // can be read from then on
+  bool is_open() const { return open_; }
 
  private:
   Fd opened_;
+  std::atomic<bool> open_{false};
 };
 
 // Accepts clients once `gate` is open. Its thread waits for them and for its own end together. The socket is
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -18,6 +18,7 @@
 constexpr Duration kLongestCounted = std::chrono::seconds(5);
 constexpr Duration kKillAfter = milliseconds(700);
 constexpr Duration kLookAtOthers = milliseconds(100);
+constexpr Duration kHandOverEvery = milliseconds(1000);
 constexpr Duration kSlowTurn = milliseconds(40);
 // For answers that are queued when all is over. Guards them against a writer that does not run for a moment:
 // a part of a core is shared by all. Still before the kill, 3.7 s after the word to leave.
@@ -39,6 +40,11 @@
       event);
 }
 
+bool shares(const config::Config& config) { return config.listen_fd && !config.shared_folder.empty(); }
+std::optional<learnt::Inherited> handed_down(const config::Config& config, manager::Log& log) {
+  return shares(config) ? HandOver::read(config.shared_folder, config.real, log) : std::nullopt;
+}
+
 }  // namespace
 
 Server::Server(const config::Config& config, manager::Log& log)
@@ -51,11 +57,14 @@
       lobby_("lobby"),
       writer_("writer"),
       readers_{manager::Budget(kMostReaders), lobby_, writer_},
-      manager_(config, now(), from_unix_ms, budget_, *this, *this, log) {
+      manager_(config, now(), from_unix_ms, budget_, *this, *this, log, handed_down(config, log)) {
   last_event_ = config.known_number;
   follow(config.feed);
   listener_ = std::make_unique<Listener>(config, gate_, slots_, budget_, inbox_, readers_, log);
-  if (config.listen_fd && !config.shared_folder.empty()) together_.emplace(config.shared_folder);
+  if (shares(config)) {
+    together_.emplace(config.shared_folder);
+    hand_over_.emplace(config.shared_folder, together_->place(), config.real);
+  }
   // Beside another process this one accepts once it was asked whether it is ready: until then the other one
   // serves.
   if (!together_ || !config.management || !together_->successor()) open_gate();
@@ -135,10 +144,18 @@
   const auto theirs = together_->others();
   slots_.set_aside(theirs.sessions);
   budget_.set_aside(theirs.bytes);
+  manager_.serve_beside(theirs.serving);
   const bool other = together_->successor();
   const auto& service = manager_.service();
   if (service.leaving() && other && service.listens(now())) manager_.handle(now(), leave_as());
   if (!service.leaving() && !other && !std::exchange(alone_, true)) open_gate();
+  if (now() >= next_hand_over_) hand_over();
+}
+
+// By the one that serves: a newcomer that has served nobody, and one that leaves, have less to tell.
+void Server::hand_over() {
+  next_hand_over_ = now() + kHandOverEvery;
+  if (gate_.is_open() && !manager_.service().leaving()) hand_over_->offer(manager_.learnt());
 }
 
 void Server::run() {
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -11,6 +11,7 @@
 #include "net/engine_link.h"
 #include "net/events.h"
 #include "net/feed_follower.h"
+#include "net/hand_over.h"
 #include "net/listener.h"
 #include "net/management.h"
 #include "net/poller.h"
@@ -38,6 +39,7 @@
   void open_gate();
   void heed_operators();
   void look_at_others();
+  void hand_over();
   manager::Leave leave_as() const;
 
   void serve(manager::SessionId session, manager::CallId call, manager::Result result) override;
@@ -80,7 +82,8 @@
   Gate gate_;
   std::unique_ptr<Listener> listener_;
   std::optional<Together> together_;        // where processes may share the listener
-  Time next_look_{};                        // at the others; the core's thread only
+  std::optional<HandOver> hand_over_;       // the same
+  Time next_look_{}, next_hand_over_{};     // at the others; the core's thread only
   bool alone_ = false;                      // the core's thread only, as the next: others have gone
   bool evacuated_ = false;                  // the core's thread only: the wish that it has carried out
   std::unique_ptr<Management> management_;  // its thread reads the core's figures, and opens the gate
--- a/src/net/together.cpp
+++ b/src/net/together.cpp
@@ -55,12 +55,13 @@
 }
 
 // What a dead process told counts no more: its lock has gone with it.
-Together::Holds Together::others() const {
-  Holds sum;
+Together::Others Together::others() const {
+  Others sum;
   for (int place = 0; place < kMost; ++place) {
     Holds other;
     if (place == place_ || !held_by_other(place)) continue;
     if (::pread(file_.get(), &other, sizeof other, record_of(place)) != sizeof other) continue;
+    sum.serving += other.sessions > 0 || held_by_other(kMost + place);
     sum.sessions += other.sessions, sum.bytes += other.bytes;
   }
   return sum;
--- a/src/net/together.h
+++ b/src/net/together.h
@@ -27,7 +27,11 @@
     std::uint64_t sessions = 0, bytes = 0;
   };
   void tell(const Holds& own);
-  Holds others() const;
+  struct Others : Holds {
+    std::size_t serving = 0;  // processes that accept clients, or hold some still
+  };
+  Others others() const;
+  int place() const { return place_; }  // 0 to kMost - 1; no other one that is there has it
 
  private:
   bool lock(int byte, short kind);
--- a/src/policy/choice.cpp
+++ b/src/policy/choice.cpp
@@ -132,7 +132,7 @@
 double AdmissionController::Impl::limit(const Query& q, const Engine& e, bool under_pressure) const {
   if (!under_pressure) return seconds(q.deadline - now);
   // Danger: in a backlog every query leaves as late as its estimate allows, and half end just late, for
-  // nothing. The usual error of such estimates is kept free; the engine's own: a slow one must not make all
+  // nothing. The usual error of such estimates is kept free, the engine's own, lest a slow one make all
   // refuse.
   if (q.over_share) return 0;
   const double margin = kMargin * e.error[pos(q.told.cls)] * unloaded(q);
--- a/src/policy/cold.cpp
+++ b/src/policy/cold.cpp
@@ -13,8 +13,7 @@
 
 // Danger: work sent to an engine just started topples it, and one that nobody dares to fill stays empty.
 // Fronts take turns: the time between two of one front's grows with the work it sent, and the first comes
-// at random, so that the fronts' sum over any window varies like independent arrivals do; room is left for
-// that.
+// at random, so that the fronts' sum over any window varies like independent arrivals, with room for it.
 bool AdmissionController::Impl::cold_room(const Engine& e, double work) const {
   if (!e.cold_since || s.tip_multiple <= 0 || now - *e.cold_since > s.cold) return true;
   return seconds(now - e.cold_turn) >= e.cold_wait * cold_interval(e, work);
@@ -25,9 +24,9 @@
   const double most = kColdShare * s.tip_multiple * part * e.cores * kFullUse * seconds(s.tip_after);
   if (work >= most) return 1e8;
   const double half =
-      kColdSpread / 2 * std::sqrt(work * (1 - 1.0 / s.fronts));  // of mean + spread + work = most
+      kColdSpread / 2 * std::sqrt(work * (1 - 1.0 / fronts));  // of mean + spread + work = most
   const double root = std::sqrt(half * half + most - work) - half;
-  return seconds(s.tip_after) * work * s.fronts / (root * root);
+  return seconds(s.tip_after) * work * fronts / (root * root);
 }
 
 }  // namespace lynxstand
--- a/src/policy/engines.cpp
+++ b/src/policy/engines.cpp
@@ -66,6 +66,7 @@
     }
     e.part = share;
     e.bound = std::max(1.0, e.cores * share);
+    if (const auto known = handed.extract(entry.engine.name)) know(e, known.mapped());
   }
   if (entry.started && (is_new || restarted)) {
     if (!e.cold_since || *entry.started > *e.cold_since) {
--- a/src/policy/estimate.cpp
+++ b/src/policy/estimate.cpp
@@ -36,8 +36,7 @@
 
 // Danger: at an engine shared with many fronts dense queries pile up by chance until it pages or thrashes.
 // Where no probes show it, what is worth the price of messages to every peer is told of, when sent (5
-// bytes, 7 for a load) and at its end (4, with the engine's report). A lost message costs a wrong guess for
-// a while.
+// bytes, 7 for a load) and at its end (4, with the engine's report). A lost message costs a wrong guess.
 void AdmissionController::Impl::tell(const Query& q, Attempt& a, const Engine& e, double rest) {
   const bool begins = rest > 0;
   if (begins) a.told = s.may_message && s.fronts > 1 && !probes && q.work >= told_from() * mean_work;
@@ -66,8 +65,7 @@
 // Danger: answers come most from where most runs. A mean over answers shows the crowded engines for all,
 // and to a front of many, which meets most engines seldom, all look full, the idle ones first: none dares
 // to send there, and no answer puts it right. So each engine counts once, by the age of its last report,
-// beside what is presumed. One that is cold counts for itself alone: its ration keeps it from being
-// filled.
+// beside what is presumed. One that is cold counts for itself alone: its ration bounds it.
 void AdmissionController::Impl::view_pool() {
   const double prior = kPriorWeight * (1 - share);  // nothing is presumed of others where there are none
   double weight = kPriorWeight, others = prior * kPoolPrior, memory = prior * kPriorMemory;
--- a/src/policy/impl.h
+++ b/src/policy/impl.h
@@ -27,7 +27,7 @@
     1;  // threads a core, and share of memory: the pool's mean before any report,
 inline constexpr double kPriorMemory = 0.3;
 
-struct AdmissionController::Impl {
+struct AdmissionController::Impl : LearntPool {
   Impl(const Settings& settings, std::uint64_t seed, Time at);
 
   const Settings s;
@@ -44,8 +44,10 @@
   std::map<OrderKey, KeyLine> keys;
   std::deque<Time> taken, extras;                // for the budget of further attempts
   std::vector<std::pair<double, Time>> buckets;  // a tenant: queries left, and when it was filled
-  double own_seen = 0, all_seen = 0;             // smoothed: own queries, and all, on the engines that report
+  double fronts;                                 // this one's least part of the load is one over these
   double share;                                  // this front's part of the load on the engines
+  std::map<std::string, Learnt::Engine> handed;  // by another process, of engines not named by the list yet
+  Time handed_at{};                              // when it was learnt
   std::map<std::uint16_t, Engine*> by_hash;
   bool probes = false;  // engines are probed for what other fronts run
   int probes_out = 0;
@@ -55,15 +57,11 @@
   double threads = 0;       // that this front runs on all engines
   double pool_bound = 0;    // most of these under pressure
   double mean_part = 0;     // cores of an engine, in the mean, that are this front's
-  double mean_work = 0;     // of all that arrives, seconds
-  double light_time = 0, light_threads = 0, light_memory = 0;  // smoothed, of what is not told of
-  double mean_threads = 1, mean_memory = 0;                    // of such a query that runs
-  double strain = 0;                                           // pool: mean logarithm of time taken over best
-  double price = 1e9;     // log of the most seconds of work for one unit of worth that are admitted
-  double dearest = -1e9;  // the most that was asked lately
+  double strain = 0;        // pool: mean logarithm of time taken over best
+  double price = 1e9;       // log of the most seconds of work for one unit of worth that are admitted
+  double dearest = -1e9;    // the most that was asked lately
   Time priced = Time::min();
-  double heard = 0;         // seconds of lowering the price that outcomes speak for
-  double mean_density = 0;  // worth per second of work, as it arrives
+  double heard = 0;  // seconds of lowering the price that outcomes speak for
 
   double draw() { return next_uniform(random); }
   template <class A>
@@ -153,6 +151,16 @@
   void refresh_views();
   void note_entry(const EngineEntry& entry);
 
+  Learnt value() const {
+    Learnt all{*this, {classes.begin(), classes.end()}, kinds, {}};
+    for (const auto& [name, e] : engines)
+      if (e.entry.state != EngineState::gone) all.engines.push_back({e.entry.engine, e.entry.started, e});
+    return all;
+  }
+
+  // handover.cpp
+  void know(Engine& e, const Learnt::Engine& known);
+
   // policy.cpp
   void on(const QueryArrived& told);
   void on(const ClientLeft& left);
--- a/src/policy/learning.cpp
+++ b/src/policy/learning.cpp
@@ -60,8 +60,7 @@
   if (slowdown(e) < kNearBest) e.bound += kWiden * s.classes[i].threads;
   if (slowdown(e) > kFarFromBest) e.bound *= kCut;
   // Danger: the told front count says little of a front's part: peers die, are idle, or carry unequal
-  // loads. Near best, with queries held here, others leave room: the part grows; it goes back as latency
-  // grows.
+  // loads. Near best, with queries held here, others leave room: the part grows; latency takes it back.
   if (slowdown(e) < kNearBest && !held.empty()) e.part *= 1 + kPartStep;
   if (slowdown(e) > kPressure) e.part *= 1 - 2 * kPartStep;
   e.part = std::clamp(e.part, share, 1.0);
@@ -113,7 +112,7 @@
   // Danger: fronts carry unequal loads; an even share starves the large ones. Sums, as counts are small.
   own_seen += kShareStep * (static_cast<double>(e.running.size()) - own_seen);
   all_seen += kShareStep * (inflight - all_seen);
-  share = std::clamp(own_seen / all_seen, 1.0 / s.fronts, 1.0);
+  share = std::clamp(own_seen / all_seen, 1.0 / fronts, 1.0);
 }
 
 }  // namespace lynxstand
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -22,7 +22,8 @@
   check(settings);
   kinds.assign(s.kinds.size(), zero_weights(classes.size()));
   for (auto& c : classes) c.memory_factor = kHeadroom;
-  share = 1.0 / s.fronts;
+  fronts = s.fronts;
+  share = 1.0 / fronts;
   probes = s.may_probe && s.fronts > 1 && s.reports != ReportSource::none && tells_what_runs(s);
   buckets.assign(s.tenants.size(), {1e9, now});
   own_seen = share, all_seen = 1;
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -57,13 +57,12 @@
 }
 
 // Danger: one tenant's crowd takes the engines from all, for traffic that is worth little. A bucket a
-// tenant, filled at this front's part of its quota; what finds it empty is refused under pressure, and only
-// then.
+// tenant, filled at this front's part of its quota; what finds it empty is refused under pressure only.
 bool AdmissionController::Impl::over_share(TenantId tenant) {
   if (pos(tenant) >= buckets.size() || s.tenants[pos(tenant)].quota_per_s <= 0 || s.over_share_worth >= 1)
     return false;
   auto& [left, at] = buckets[pos(tenant)];
-  const double rate = s.tenants[pos(tenant)].quota_per_s * std::max(share, 1.0 / s.fronts) * kQuotaSlack;
+  const double rate = s.tenants[pos(tenant)].quota_per_s * std::max(share, 1.0 / fronts) * kQuotaSlack;
   left = std::min(left + rate * seconds(now - at), rate * kQuotaBurst);
   at = now;
   if (left < 1) return true;
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -15,8 +15,8 @@
 namespace lynxstand {
 
 void check(const Settings& settings);  // throws std::invalid_argument naming the field that makes no sense
+bool fits(const Learnt& learnt, const Settings& settings);  // sizes as the settings', numbers that are some
 
-using Weights = std::vector<std::vector<double>>;  // c(i,j)
 inline Weights zero_weights(std::size_t classes) {
   return Weights(classes, std::vector<double>(classes, 0.0));
 }
@@ -68,17 +68,9 @@
   return static_cast<std::size_t>(id);
 }
 
-struct ClassState {
-  double bias = 1;        // unloaded time over told time
-  double mean_error = 1;  // mean absolute error of Est, in unloaded times
+struct ClassState : LearntClass {
   Duration usual_left{};  // time left that most have on arrival, by majority vote
   int usual_votes = 0;
-  double arrived = 0, mean_told = 0;   // queries that told their work; its mean in seconds, as told
-  double outcomes = 0, level = 0;      // mean logarithm of time taken over unloaded time
-  double spread = 1;                   // mean deviation from it
-  double best = 0;                     // its best, followed upwards slowly
-  double billed = 0, work_factor = 1;  // answers that told the work; it over told work
-  double memory_factor = 1;            // granted over told memory
 };
 
 struct Attempt {
@@ -145,20 +137,16 @@
   return payload;
 }
 
-struct Engine {
+struct Engine : LearntEngine {
   explicit Engine(std::size_t classes)
-      : n(classes, 0.0), error(classes, 1.0), weights(zero_weights(classes)) {}
+      : LearntEngine{zero_weights(classes), std::vector<double>(classes, 1.0)}, n(classes, 0.0) {}
   EngineEntry entry;
   double cores = 1, memory = 0;
-  std::vector<double> n;      // own running queries per class
-  std::vector<double> error;  // mean absolute error of Est per class, in unloaded times
+  std::vector<double> n;  // own running queries per class
   double threads = 0, granted = 0;
   std::set<QueryId> running;
-  Weights weights;
-  double part = 1;        // this front's part of it
-  double bound = 1;       // threads this front may run here under pressure
-  double slow = 0;        // mean logarithm of time taken over the class's best
-  double slow_count = 0;  // recent outcomes in it
+  double part = 1;   // this front's part of it
+  double bound = 1;  // threads this front may run here under pressure
   Time slow_at = Time::min();
   double reported = 0;  // queries that it held by its last report
   double others = 0;    // threads that run there by its last report, neither ours nor told of
@@ -173,8 +161,6 @@
   std::optional<Time> cold_since;
   Time cold_turn = Time::min();  // this front's last turn to send to it while cold
   double cold_wait = 1;          // share of the time between two turns to wait: the first comes at random
-  double failing = 0;            // share of outcomes that failed, smoothed
-  bool shunned = false;
   Time trial_at = Time::min(), shunned_since = Time::min();
   Duration backoff{};
   std::multimap<TableGroupId, std::pair<std::uint64_t, Time>> loads;  // by tables: who holds them, until when
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -48,11 +48,15 @@
 class Front {
  public:
   explicit Front(const Settings& s, std::vector<EngineEntry> engines = {engine("a"), engine("b")},
-                 std::uint64_t seed = 7)
+                 std::uint64_t seed = 7, const std::optional<Learnt>& known = std::nullopt)
       : controller_(s, seed, now) {
+    if (known) {
+      EXPECT_TRUE(controller_.take_over(*known, 0s));
+    }
     list(std::move(engines), ListKind::remembered);
   }
 
+  AdmissionController& controller() { return controller_; }
   std::vector<Action> feed(const Event& e) {
     std::vector<Action> out;
     controller_.handle(now, e, out);
--- /dev/null
+++ b/tests/handover_test.cpp
@@ -0,0 +1,126 @@
+// What was learnt, taken over by another controller; and fronts that come and go.
+#include <cmath>
+
+#include "bench.h"
+
+namespace lynxstand::testing {
+namespace {
+
+// An engine b that takes four times what is told, and one, a, that takes what is told.
+void teach(Front& f, int pairs = 200) {
+  for (std::uint64_t id = 1; id <= 2u * pairs; id += 2) {
+    const auto p = f.arrive(id), q = f.arrive(id + 1);
+    f.pass(200ms);
+    for (const auto x : {p, q}) f.end(x, Outcome::served, f.sends[x].front() == "b" ? 400ms : 100ms);
+  }
+}
+
+struct Taught : ::testing::Test {
+  Settings settings = make_settings({make_class(), make_class(2s)});
+  Front old{settings};
+  AdmissionController young{settings, 8, old.now};
+  Taught() { teach(old); }
+};
+
+TEST_F(Taught, TheValueIsTheSameOnceItIsTakenOver) {
+  const Learnt known = old.controller().learnt();
+  ASSERT_EQ(known.engines.size(), 2u);
+  EXPECT_NE(known.engines[1].learnt.weights, known.engines[0].learnt.weights);
+  ASSERT_TRUE(young.take_over(known, 0s));
+  std::vector<Action> out;
+  young.handle(old.now, EngineList{ListKind::remembered, {engine("a"), engine("b")}}, out);
+  EXPECT_EQ(young.learnt(), known);
+}
+
+TEST_F(Taught, TheNewOneKnowsTheSlowEngineFromItsFirstQueryOn) {
+  Front cold(settings), warm(settings, {engine("a"), engine("b")}, 7, old.controller().learnt());
+  const auto on_b = [](Front& f) {
+    int count = 0;
+    for (std::uint64_t id = 1; id <= 4; ++id) count += f.sends[f.arrive(id)].front() == "b";
+    return count;
+  };
+  EXPECT_EQ(on_b(cold), 2);
+  EXPECT_LE(on_b(warm), 1);
+}
+
+TEST_F(Taught, AnEngineThatWasStartedSinceBeginsWithItsKind) {
+  Learnt known = old.controller().learnt();
+  auto again = engine("b");
+  again.started = old.now;
+  ASSERT_TRUE(young.take_over(known, 0s));
+  std::vector<Action> out;
+  young.handle(old.now, EngineList{ListKind::remembered, {engine("a"), again}}, out);
+  EXPECT_EQ(young.learnt().engines[1].learnt.weights, known.kinds[0]);
+  EXPECT_EQ(young.learnt().engines[0].learnt, known.engines[0].learnt);
+}
+
+TEST_F(Taught, AFailingEngineIsStillAvoidedForAWhile) {
+  Learnt known = old.controller().learnt();
+  known.engines[1].learnt.shunned = true, known.engines[1].learnt.failing = 0.9;
+  const auto avoided = [&](Duration age) {
+    AdmissionController one(settings, 8, old.now);
+    EXPECT_TRUE(one.take_over(known, age));
+    std::vector<Action> out;
+    one.handle(old.now, EngineList{ListKind::remembered, {engine("a"), engine("b")}}, out);
+    return one.avoided();
+  };
+  EXPECT_EQ(avoided(1s), 1u);
+  EXPECT_EQ(avoided(7s), 0u);
+}
+
+TEST_F(Taught, WhatDoesNotFitChangesNothing) {
+  const Learnt known = old.controller().learnt();
+  const Learnt own = young.learnt();
+  const auto refused = [&](auto spoil) {
+    Learnt bad = known;
+    spoil(bad);
+    EXPECT_FALSE(young.take_over(bad, 0s));
+    EXPECT_EQ(young.learnt(), own);
+  };
+  refused([](Learnt& l) { l.classes.pop_back(); });
+  refused([](Learnt& l) { l.kinds.clear(); });
+  refused([](Learnt& l) { l.kinds[0][1].pop_back(); });
+  refused([](Learnt& l) { l.classes[0].bias = 0; });
+  refused([](Learnt& l) { l.classes[1].level = std::nan(""); });
+  refused([](Learnt& l) { l.pool.all_seen = 0; });
+  refused([](Learnt& l) { l.engines[0].learnt.weights[0][0] = -1; });
+  refused([](Learnt& l) { l.engines[1].learnt.error = {1}; });
+  EXPECT_TRUE(young.take_over(known, 0s));
+  std::vector<Action> out;
+  young.handle(old.now, Woken{}, out);
+  EXPECT_FALSE(young.take_over(known, 0s));  // events have come
+}
+
+// Sends to an engine just started within the time that may topple it.
+int sends_to_cold(std::size_t processes) {
+  Settings s = make_settings();
+  s.fronts = 4, s.cold = 10s, s.start_capacity = 0.3, s.tip_multiple = 3, s.tip_after = 2s;
+  auto fresh = engine("a");
+  int sent = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    for (std::size_t p = 0; p < processes; ++p) {
+      Front f(s, {}, 100 * seed + p);
+      f.controller().count_fronts(4.0 * static_cast<double>(processes));
+      fresh.started = f.now;
+      f.list({fresh}, ListKind::full);
+      std::size_t ended = 0;
+      for (std::uint64_t id = 1; id <= 100; ++id) {
+        f.arrive(id, 3s, 100ms);
+        f.pass(20ms);
+        for (; ended < f.order.size(); ++ended) f.end(f.order[ended], Outcome::served, 20ms);
+      }
+      sent += static_cast<int>(ended);
+    }
+  }
+  return sent;
+}
+
+TEST(Fronts, TwoProcessesOfOneFrontTogetherSendAColdEngineNoMoreThanOne) {
+  const int one = sends_to_cold(1), two = sends_to_cold(2);
+  EXPECT_GT(one, 20);
+  EXPECT_GT(two, one / 2);
+  EXPECT_LE(two, one + one / 5);
+}
+
+}  // namespace
+}  // namespace lynxstand::testing
--- a/tests/processes/upgrade_test.cpp
+++ b/tests/processes/upgrade_test.cpp
@@ -135,6 +135,39 @@
   CHECK(taken_by(third_door) > 0);
 }
 
+bool took_over(const Program& program) {
+  return program.said().find("took over what another process learnt of 1 engines") != std::string::npos;
+}
+
+TEST_CASE_FIXTURE(Two,
+                  "the new process begins with what the old one has learnt, and so does one after a kill") {
+  CHECK(took_over(*young));
+  CHECK_FALSE(took_over(*old));
+  old->tell(SIGKILL);
+  CHECK(old->ended() == -SIGKILL);
+  crowd.wait_for(50);  // by the new one, now that it is alone
+  young->tell(SIGKILL);
+  CHECK(young->ended() == -SIGKILL);
+  const auto third = start();
+  ask_until(third->operators(), "readyz", kYes);
+  CHECK(took_over(*third));
+  crowd.wait_for(20);
+  crowd.finish();  // while somebody serves
+}
+
+TEST_CASE("a spoilt hand-over gets one line, and the new process begins with nothing") {
+  Site site;
+  std::ofstream(site.folder.path() + "/yokestream-learnt") << "noise of another life";
+  const auto program = site.start();
+  ask_until(program->operators(), "readyz", kYes);
+  const std::string words = "what another process learnt is not taken over: it is of another form";
+  const auto at = program->said().find(words);
+  CHECK(at != std::string::npos);
+  CHECK(program->said().find(words, at + 1) == std::string::npos);
+  Crowd crowd(site.clients.at, 2);
+  crowd.wait_for(20);
+}
+
 TEST_CASE("what a dead process left in the shared folder stops nobody") {
   Site site;
   std::ofstream(site.folder.path() + "/yokestream-processes") << "noise of another life";
