--- a/src/policy/handover.cpp
+++ b/src/policy/handover.cpp
@@ -24,8 +24,7 @@
   return true;
 }
 
-// Danger: what an earlier run of an engine taught is of a warm one, or of one that failed for that. The new
-// run begins with its kind's weights.
+// Danger: an earlier run of an engine taught of a warm one, or a failing one. A new one begins as its kind.
 void AdmissionController::Impl::know(Engine& e, const Learnt::Engine& known) {
   const auto &was = known.started, &is = e.entry.started;
   if (is && (!was || std::chrono::abs(*is - *was) > kSameStart)) return;
