--- a/deploy/operator.jsonnet
+++ b/deploy/operator.jsonnet
@@ -9,6 +9,8 @@
     level: 'info',
     format: 'text',
   },
+  // What the managers share through a store, where the installation runs one: docs/operators/duty.md.
+  fleet: { on: false /*, store: ['10.0.0.1:2379', '10.0.0.2:2379'] */ },
   // Teams' budgets and quoted waits: docs/operators/queues.md. Without `teams` each owner is one.
   queues: { on: false },
   door: {
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -9,6 +9,7 @@
 #include "config/members.h"
 #include "config/settings.h"
 #include "door/settings.h"
+#include "duty/settings.h"
 #include "queues/settings.h"
 
 namespace yokestream::config {
@@ -18,6 +19,7 @@
   std::size_t sockets = 1024;
   std::size_t processes = 1;  // that may stand beside each other: two where the listener is handed down
   std::size_t door = 0;       // descriptors of the operators' door, where there is one
+  std::size_t fleet = 0;      // the same of what keeps this process in its fleet
 
   // How the descriptors are shared out. Usual clients hold a third of them at most; each connection also
   // costs its buffers, some 40 KB. Where two processes may stand beside each other, each has half of the
@@ -25,7 +27,7 @@
   // (src/net/together.h).
   std::size_t links() const { return std::min(sockets / (3 * processes), memory_mb * 3); }
   std::size_t sessions() const {
-    return std::min(sockets - processes * (links() + kOtherDescriptors + door), memory_mb * 6);
+    return std::min(sockets - processes * (links() + kOtherDescriptors + door + fleet), memory_mb * 6);
   }
 
   static constexpr std::size_t kOtherDescriptors = 18;  // the listener, the feed, the pollers, files
@@ -46,6 +48,7 @@
   RealSettings real;
   door::Settings door;      // of the operator file; off without one
   queues::Settings queues;  // the same
+  duty::Settings fleet;     // the same
 };
 
 // Nested JSON as pairs of path and text: objects and lists of objects by path, lists of scalars with commas.
--- /dev/null
+++ b/src/duty/fleet_replies.cpp
@@ -0,0 +1,153 @@
+// What comes back from the store, and what follows from it.
+#include <algorithm>
+
+#include "duty/fleet.h"
+
+namespace yokestream::duty {
+namespace {
+
+constexpr Duration kAgain = std::chrono::milliseconds(250);       // after a call that brought nothing
+constexpr Duration kLookAgain = std::chrono::milliseconds(1000);  // while acknowledgements are missing
+
+}  // namespace
+
+void Fleet::replied(Time now, const store::Reply& reply) {
+  const auto* done = std::get_if<store::Done>(&reply);
+  // A store that was set back knows less than was decided upon: terms and epochs would come again.
+  if (done && out_ != Asker::session && out_ != Asker::revoke) {
+    if (done->revision < highest_) trouble_ = "the store was set back to an older state";
+    highest_ = std::max(highest_, done->revision);
+  }
+  if (!trouble_.empty()) return begin_again();
+  if (out_ == Asker::session) {
+    session_.replied(now, reply);
+    heard_ = std::max(heard_, session_.until());
+    if (session_.lease() != of_) begin_again();
+  } else if (out_ == Asker::election) {
+    election_.replied(now, reply);
+    if (election_.owner()) look_at_ = std::min(look_at_, now);
+  } else if (done) {
+    take(now, *done);
+  } else {
+    missed(now, std::holds_alternative<store::Unknown>(reply));
+  }
+  out_ = Asker::nobody;
+}
+
+void Fleet::take(Time now, const store::Done& done) {
+  again_ = Time::min();
+  const bool refused = !done.succeeded;
+  if (out_ == Asker::format) {
+    const auto* found =
+        refused && !done.ranges.empty() && !done.ranges[0].all.empty() ? &done.ranges[0].all[0] : nullptr;
+    known_format_ = !refused || (found && found->value == kFormat);
+    if (!known_format_) trouble_ = "the store holds another form under " + names_.root;
+  } else if (out_ == Asker::view) {
+    view_.took(done);
+    see_state();
+  } else if (out_ == Asker::tell) {
+    told(now, done);
+  } else if (out_ == Asker::publish) {
+    draft_.reset(), beat_ = false;
+    view_.lost();  // what stands there now is read, not presumed
+    if (refused) election_.lost();
+  } else if (out_ == Asker::look) {
+    looked(now, done);
+  } else if (out_ == Asker::revoke) {
+    lease_over_ = true;
+  }
+}
+
+// A call that may have counted is settled by reading: of what this process wrote only the owner's table is
+// not its own alone.
+void Fleet::missed(Time now, bool unknown) {
+  again_ = now + kAgain;
+  if (out_ == Asker::tell) told_.reset();
+  if (out_ == Asker::publish && unknown) draft_.reset(), view_.lost();
+  if (out_ == Asker::revoke) lease_over_ = true;  // it ends by itself
+}
+
+// Refused: one that was given up has come after all. The next goes over that one.
+void Fleet::told(Time now, const store::Done& done) {
+  told_at_ = now;
+  if (done.succeeded) {
+    told_mod_ = done.revision;
+    return;
+  }
+  const bool there = !done.ranges.empty() && !done.ranges[0].all.empty();
+  told_mod_ = there ? done.ranges[0].all[0].mod : 0;
+  told_.reset();
+}
+
+void Fleet::looked(Time now, const store::Done& done) {
+  std::map<std::string, Fact> living;
+  if (done.ranges.empty()) return;
+  for (const auto& kv : done.ranges.front().all) {
+    const auto fact = decode_fact(kv.value);  // one that makes no sense acknowledges nothing
+    if (kv.key.size() > names_.alive().size())
+      living[kv.key.substr(names_.alive().size())] = fact.value_or(Fact{});
+  }
+  beat_ = true;
+  look_at_ = now + settings_.look;
+  const Table now_there = table_.value_or(Table{});
+  if (!(settings_.without & Settings::kAcknowledged) && !Shares::acknowledged(now_there, living, kDuty)) {
+    look_at_ = now + std::min(kLookAgain, settings_.look);
+    return;
+  }
+  draft_ = shares_.next(now_there, living);
+  if (draft_) draft_->term = election_.term();
+}
+
+// The state of the duty, as the view has it. One that can't be read stays as it is: nothing is overwritten.
+void Fleet::see_state() {
+  const auto* state = view_.find(names_.state(kDuty));
+  state_mod_ = state ? state->mod : 0;
+  if (!state) return table_.reset();
+  auto table = decode_table(state->value);
+  if (!table) {
+    trouble_ = "the store's record " + names_.state(kDuty) + " can't be read";
+    return begin_again();
+  }
+  table_ = std::move(table);
+  const auto own = table_->parts.find(session_name(of_));
+  if (own == table_->parts.end() || table_->epoch <= epoch_) return;
+  granted_ = own->second;
+  epoch_ = table_->epoch;
+}
+
+// Another incarnation, or none: what was granted to the last one counts no more, but for bounding this one.
+void Fleet::begin_again() {
+  of_ = session_.lease();
+  if (granted_ > 0) base_ = std::min(granted_, shares_.even());
+  granted_ = 0, epoch_ = -1;
+  fact_.seen.clear(), told_.reset(), told_mod_ = 0;
+  draft_.reset(), beat_ = false;
+  if (of_ != store::LeaseId::none) election_.stand(of_, fact_.name);
+}
+
+// ---- watches
+
+std::optional<store::Watch> Fleet::wanted(Slot slot) const {
+  if (leaving_ || !trouble_.empty() || of_ == store::LeaseId::none) return std::nullopt;
+  if (slot == Slot::ahead) return election_.ahead();
+  if (!view_.known()) return std::nullopt;
+  return view_.watch();
+}
+
+void Fleet::heard(Slot slot, const store::Watched& watched) {
+  if (watched.canceled || watched.compacted > 0) return cut(slot);
+  for (const auto& event : watched.events) highest_ = std::max(highest_, event.now.mod);
+  if (slot == Slot::states) {
+    view_.heard(watched);
+    return see_state();
+  }
+  for (const auto& event : watched.events)
+    if (event.kind == store::WatchEvent::Kind::removed) election_.ahead_gone();
+}
+
+void Fleet::cut(Slot slot) {
+  if (slot == Slot::states) view_.lost();
+  if (slot == Slot::ahead) election_.ahead_gone();
+}
+
+}  // namespace yokestream::duty
--- /dev/null
+++ b/src/duty/records.cpp
@@ -0,0 +1,103 @@
+// Facts and tables as the JSON that stands in the store.
+#include <json/json.h>
+
+#include <cmath>
+#include <cstdio>
+#include <memory>
+
+#include "duty/shares.h"
+
+namespace yokestream::duty {
+namespace {
+
+constexpr std::size_t kMostName = 256;
+
+std::string write(const Json::Value& value) {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, value);
+}
+
+// nullopt: no JSON object of our form.
+std::optional<Json::Value> parse(std::string_view text, std::size_t most) try {
+  if (text.size() > most) return std::nullopt;
+  Json::CharReaderBuilder builder;
+  builder["collectComments"] = false;
+  builder["stackLimit"] = 16;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value value;
+  std::string problems;
+  if (!reader->parse(text.data(), text.data() + text.size(), &value, &problems)) return std::nullopt;
+  if (!value.isObject() || value["form"] != 1) return std::nullopt;
+  return value;
+} catch (const Json::Exception&) {  // too deep
+  return std::nullopt;
+}
+
+bool is_name(const Json::Value& v) { return v.isString() && v.asString().size() <= kMostName; }
+
+// An object of whole numbers, none below zero.
+std::optional<std::map<std::string, std::int64_t>> numbers(const Json::Value& v, std::size_t most) {
+  if (!v.isObject() || v.size() > most) return std::nullopt;
+  std::map<std::string, std::int64_t> out;
+  for (const auto& name : v.getMemberNames()) {
+    if (!v[name].isInt64() || v[name].asInt64() < 0) return std::nullopt;
+    out[name] = v[name].asInt64();
+  }
+  return out;
+}
+Json::Value to_json(const std::map<std::string, std::int64_t>& numbers) {
+  Json::Value out(Json::objectValue);
+  for (const auto& [name, n] : numbers) out[name] = Json::Int64(n);
+  return out;
+}
+
+}  // namespace
+
+std::string session_name(store::LeaseId lease) {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(lease));
+  return text;
+}
+
+std::string encode(const Fact& fact) {
+  Json::Value out;
+  out["form"] = 1;
+  out["name"] = fact.name.substr(0, kMostName);
+  out["version"] = fact.version.substr(0, kMostName);
+  out["traffic"] = fact.traffic;
+  out["seen"] = to_json(fact.seen);
+  return write(out);
+}
+
+std::optional<Fact> decode_fact(std::string_view text) {
+  constexpr std::size_t kMostDuties = 16;
+  const auto v = parse(text, kMostFact);
+  if (!v || !is_name((*v)["name"]) || !is_name((*v)["version"]) || !(*v)["traffic"].isNumeric())
+    return std::nullopt;
+  const auto seen = numbers((*v)["seen"], kMostDuties);
+  const double traffic = (*v)["traffic"].asDouble();
+  if (!seen || !std::isfinite(traffic) || traffic < 0) return std::nullopt;
+  return Fact{(*v)["name"].asString(), (*v)["version"].asString(), traffic, *seen};
+}
+
+std::string encode(const Table& table) {
+  Json::Value out;
+  out["form"] = 1;
+  out["epoch"] = Json::Int64(table.epoch);
+  out["term"] = Json::Int64(table.term);
+  out["parts"] = to_json(table.parts);
+  return write(out);
+}
+
+std::optional<Table> decode_table(std::string_view text) {
+  const auto v = parse(text, store::kMostValue);
+  if (!v || !(*v)["epoch"].isInt64() || !(*v)["term"].isInt64()) return std::nullopt;
+  auto parts = numbers((*v)["parts"], kMostProcesses);
+  if (!parts || (*v)["epoch"].asInt64() < 0) return std::nullopt;
+  for (const auto& [session, part] : *parts)
+    if (part > kWhole) return std::nullopt;
+  return Table{(*v)["epoch"].asInt64(), (*v)["term"].asInt64(), std::move(*parts)};
+}
+
+}  // namespace yokestream::duty
--- /dev/null
+++ b/src/duty/session.cpp
@@ -0,0 +1,45 @@
+#include "duty/session.h"
+
+#include <algorithm>
+
+namespace yokestream::duty {
+namespace {
+
+constexpr Duration kAgain = std::chrono::milliseconds(250);  // after a call that brought nothing
+
+Duration whole_seconds(Duration d) { return std::chrono::ceil<std::chrono::seconds>(d); }
+
+}  // namespace
+
+Time Session::due() const {
+  if (out_) return Time::max();
+  return lease_ == store::LeaseId::none ? again_ : std::max(again_, sent_ + renew_after());
+}
+
+std::optional<store::Request> Session::next(Time now) const {
+  if (now < due()) return std::nullopt;
+  if (lease_ != store::LeaseId::none) return store::KeepAlive{lease_};
+  return store::Grant{whole_seconds(settings_.lease) / std::chrono::seconds(1)};
+}
+
+// An answer that comes late counts from when it was asked for: it may say that the lease lives while this
+// clock has already stopped counting on it. A grant whose reply was lost leaves a lease that holds nothing
+// and ends by itself.
+void Session::replied(Time now, const store::Reply& reply) {
+  out_ = false;
+  const auto* done = std::get_if<store::Done>(&reply);
+  if (!done) {
+    again_ = now + kAgain;
+    return;
+  }
+  again_ = Time::min();
+  if (done->ttl_s <= 0) {  // gone at the store: what hung on it is, too
+    forget();
+    return;
+  }
+  lease_ = done->lease;
+  const auto ttl = std::min<Duration>(std::chrono::seconds(done->ttl_s), whole_seconds(settings_.lease));
+  until_ = sent_ + std::chrono::duration_cast<Duration>(ttl * (1 - settings_.drift));
+}
+
+}  // namespace yokestream::duty
--- /dev/null
+++ b/src/duty/session.h
@@ -0,0 +1,39 @@
+// One process's lease in the store: its incarnation, and for how long it may act on what it was granted.
+//
+// S2, clocks are only rates: the holder counts from the moment before it sent a renewal, the store from when
+// it got it, and the holder's clock may run slow by `drift`. So the holder always stops first. Pure: told
+// replies with a time, answers with what to ask. One thread at a time. Memory: fixed.
+#pragma once
+
+#include <optional>
+
+#include "duty/settings.h"
+#include "store/values.h"
+
+namespace yokestream::duty {
+
+class Session {
+ public:
+  explicit Session(const Settings& settings) : settings_(settings) {}
+
+  // What is to be asked now. After asked(), nothing until replied().
+  std::optional<store::Request> next(Time now) const;
+  void asked(Time now) { sent_ = now, out_ = true; }
+  void replied(Time now, const store::Reply& reply);
+  Time due() const;  // when next() has something
+
+  bool held(Time now) const { return lease_ != store::LeaseId::none && now < until_; }
+  Time until() const { return until_; }  // it counts as held before this
+  store::LeaseId lease() const { return lease_; }
+  void forget() { lease_ = store::LeaseId::none, until_ = Time::min(); }  // it is given back
+
+ private:
+  Duration renew_after() const { return settings_.lease / 3; }
+
+  const Settings& settings_;
+  store::LeaseId lease_ = store::LeaseId::none;
+  Time until_ = Time::min(), sent_ = Time::min(), again_ = Time::min();
+  bool out_ = false;
+};
+
+}  // namespace yokestream::duty
--- /dev/null
+++ b/src/duty/settings.h
@@ -0,0 +1,30 @@
+// How the processes of a fleet share work through the store; of the operator file (`fleet`), off without it.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "config/members.h"
+#include "lynxstand/settings.h"
+
+namespace yokestream::duty {
+
+using lynxstand::Duration;
+using lynxstand::Time;
+
+struct Settings {
+  bool on = false;
+  std::vector<config::Endpoint> store;           // addresses of its JSON gateway; one at least where it is on
+  std::string prefix = "/yokestream";            // all keys begin so; one an installation
+  Duration lease = std::chrono::seconds(6);      // a process that is not heard of for so long is gone
+  double drift = 0.01;                           // by which the rates of two clocks may differ
+  Duration progress = std::chrono::seconds(15);  // an owner that does nothing for so long loses its duty
+  Duration look = std::chrono::seconds(5);       // how often the owner looks at the fleet
+  Duration ask = std::chrono::milliseconds(900);  // a call of the store takes no longer
+
+  // For tests alone: guards that are left out, so that the checker is seen to find what they guard against.
+  enum Guard : unsigned { kTerm = 1, kAcknowledged = 2, kExpiry = 4, kFree = 8 };
+  unsigned without = 0;
+};
+
+}  // namespace yokestream::duty
--- a/src/manager/attempts.cpp
+++ b/src/manager/attempts.cpp
@@ -115,6 +115,11 @@
   const auto it = requests_.find(timer.query);
   if (it == requests_.end() || !it->second.attempt || it->second.attempt->tag != timer.tag) return;
   Attempt& attempt = *it->second.attempt;
+  if (timer.outcome == Outcome::never_sent) {  // its grant is over: what has not left never will
+    if (engines_.withdraw(attempt.link, attempt.tag))
+      end_attempt(timer.query, it->second, Outcome::never_sent);
+    return;
+  }
   if (timer.outcome == Outcome::timed_out)
     return give_up_attempt(timer.query, it->second, Outcome::timed_out);
   const LinkId link = attempt.link;
@@ -143,6 +148,7 @@
   if (request.answered || request.attempt) return not_sent(Outcome::never_sent);
   const EngineRecord* engine = directory_.usable(send.engine.name);
   if (!engine) return not_sent(Outcome::unreachable);
+  if (now_ >= granted_until_) return not_sent(Outcome::never_sent);
   const std::string& id = request.told.request_id;
   const auto link = links_.pick(now_, send.engine.name, *engine, request.used, now_ + config_.real.dial_time);
   if (!link) return not_sent(Outcome::unreachable);
@@ -164,6 +170,9 @@
   out.profile = config_.real.classes[static_cast<std::size_t>(request.told.cls)];
   out.deadline = until;
   out.band = band_of(send.query, request, send.engine.name);
+  out.granted_until = granted_until_;
+  if (granted_until_ != Time::max())
+    at(granted_until_, AttemptTimer{send.query, attempt.tag, Outcome::never_sent, now_});
   out.statement = request.told.statement;
   engines_.send(*link, attempt.tag, std::move(out));
   request.attempt = std::move(attempt);
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -73,6 +73,7 @@
       sessions_(session_bounds(config)),
       controller_(module_settings(config), config.seed, now),
       now_(now),
+      fronts_(config.settings.fronts),
       figures_(config.real.classes) {
   if (inherited) {
     const bool taken = controller_.take_over(inherited->learnt, inherited->age);
@@ -92,8 +93,12 @@
 }
 
 void Manager::serve_beside(std::size_t others) {
-  if (std::exchange(beside_, others) == others) return;
-  controller_.count_fronts(static_cast<double>(config_.settings.fronts) * static_cast<double>(1 + others));
+  if (std::exchange(beside_, others) != others) count_fronts(fronts_);
+}
+
+void Manager::count_fronts(double fronts) {
+  fronts_ = fronts;
+  controller_.count_fronts(fronts_ * static_cast<double>(1 + beside_));
 }
 
 void Manager::step(Time now) { now_ = std::max(now_, now); }
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -45,6 +45,10 @@
   // this one, each with its part of the load.
   lynxstand::Learnt learnt() const { return controller_.learnt(); }
   void serve_beside(std::size_t others);
+  // Attempts sent from now on leave before `until` or never (S4): whatever holds them back, and whoever
+  // stopped this process meanwhile. Time::max(): they need no grant.
+  void grant_until(Time until) { granted_until_ = until; }
+  void count_fronts(double fronts);  // 1 or more: this manager's part of the load is one over them
 
   std::size_t open_requests() const { return calls_.size(); }
   const Service& service() const { return service_; }
@@ -201,7 +205,9 @@
   Timers::iterator station_look_ = timers_.end();
   Time next_station_note_{};
   std::uint64_t noted_turned_away_ = 0, noted_waited_ = 0;
-  std::size_t beside_ = 0;             // processes of this manager
+  std::size_t beside_ = 0;  // processes of this manager
+  Time granted_until_ = Time::max();
+  double fronts_;                      // as told from outside, else by the settings
   std::deque<lynxstand::Event> told_;  // what the controller is yet to hear
   std::vector<lynxstand::Action> actions_;
   std::uint64_t last_query_ = 0;
--- a/src/messages/engine.h
+++ b/src/messages/engine.h
@@ -17,6 +17,8 @@
   lynxstand::Time deadline{};  // until when its answer is waited for
   std::uint32_t band = 1;
   std::string statement;
+  // S4: no byte of it leaves from this moment on. What it was granted by holds no longer then.
+  lynxstand::Time granted_until = lynxstand::Time::max();
 };
 
 enum class AnswerWord { served, overload, crashed, nobody, update, rows, green };
--- a/src/net/engine_link.cpp
+++ b/src/net/engine_link.cpp
@@ -27,6 +27,10 @@
           [this] { writer_.admit(std::shared_ptr<Watched>(shared_from_this(), &sender_)); },
           [&figures](const Item& item) {
             if (std::holds_alternative<EngineRequest>(item.what)) figures.attempt();
+          },
+          [](const Item& item) {
+            const auto* request = std::get_if<EngineRequest>(&item.what);
+            return request ? request->granted_until : Time::max();
           }) {}
 
 EngineLink::~EngineLink() { break_off(); }
--- a/src/net/events.h
+++ b/src/net/events.h
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "door/settings.h"
+#include "duty/fleet.h"
 #include "manager/ports.h"
 #include "net/queue.h"
 #include "net/socket.h"
@@ -24,7 +25,10 @@
   door::Settings door;
   queues::Settings queues;
 };
-using DriverEvent = std::variant<manager::Event, Accepted, Reloaded>;
+struct FleetTold {  // which part of the fleet's load this process may count on
+  duty::Fleet::Allowed allowed;
+};
+using DriverEvent = std::variant<manager::Event, Accepted, Reloaded, FleetTold>;
 using Inbox = Mailbox<DriverEvent>;
 
 }  // namespace yokestream::net
--- /dev/null
+++ b/src/net/fleet_keeper.h
@@ -0,0 +1,63 @@
+// Keeps this process's place in its fleet: the thread that asks the store what duty::Fleet wants asked, reads
+// its watches, and tells the core which part of the load it may count on.
+//
+// Only where the operator file switches `fleet` on. Any thread may call. Memory: what duty::Fleet and one
+// reply take. Descriptors: five at most (a call, two watches, an event, epoll's none). One thread. A store
+// that is slow or away holds up nobody else.
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <string>
+
+#include "config/config.h"
+#include "duty/fleet.h"
+#include "net/events.h"
+#include "net/thread.h"
+#include "store/client.h"
+#include "store/watcher.h"
+
+namespace yokestream::net {
+
+class FleetKeeper {
+ public:
+  static constexpr std::size_t kDescriptors = 5;
+
+  // `told`: managers that the platform tells of. Throws std::system_error.
+  FleetKeeper(const config::Config& config, Inbox& inbox, manager::Log& log);
+  ~FleetKeeper();  // at once; what leave() has not given back ends with its lease
+
+  void arrived() { ++arrived_; }     // a request, for this process's traffic
+  void applied(std::int64_t epoch);  // the core acts on this table from now on
+  void leave();                      // gives its place and its lease back, as the store allows
+
+ private:
+  void run();
+  void ask(const store::Request& request);
+  void keep_watches(Time now);
+  void wait(Time until);
+  void tell_core();
+  void tell_log();
+  void measure(Time now);
+
+  Inbox& inbox_;
+  manager::Log& log_;
+  duty::Fleet fleet_;  // its thread only, as the next
+  const Duration ask_within_;
+  store::Client client_;
+  std::array<store::Watcher, duty::Fleet::kSlots> watchers_;
+  std::array<std::optional<store::Watch>, duty::Fleet::kSlots> opened_;
+  duty::Fleet::Allowed allowed_;
+  std::string noted_;
+  bool owner_ = false;
+  std::uint64_t measured_ = 0;
+  Time measure_at_{};
+  double traffic_ = 0;
+  std::atomic<std::uint64_t> arrived_{0};
+  std::atomic<std::int64_t> applied_{-1};
+  std::atomic<bool> leaving_{false}, over_{false};
+  Fd news_;
+  Thread thread_;  // last: it uses the rest
+};
+
+}  // namespace yokestream::net
--- a/src/net/sender.h
+++ b/src/net/sender.h
@@ -32,12 +32,17 @@
   using Slow = std::function<void()>;
   using Whole =
       std::function<void(const Item&)>;  // called, under the lock, once the socket has all of an item
-  Sender(std::size_t bound_bytes, Socket& socket, Word word, Slow slow, Whole whole = {})
+  // Until when an item may leave, looked at right before its first byte (S4). One that is too late is left
+  // for withdraw() to find. Between this look and the write lies nothing but the system's call: a process
+  // that is stopped just there writes late when it goes on (docs/design/duty.md).
+  using Until = std::function<Time(const Item&)>;
+  Sender(std::size_t bound_bytes, Socket& socket, Word word, Slow slow, Whole whole = {}, Until until = {})
       : bound_(bound_bytes),
         socket_(socket),
         word_(std::move(word)),
         slow_(std::move(slow)),
-        whole_(std::move(whole)) {}
+        whole_(std::move(whole)),
+        until_(std::move(until)) {}
 
   // The connection is up: what waits leaves, and what comes from now on leaves at once.
   void open() {
@@ -57,12 +62,15 @@
   template <class Match>
   bool withdraw(Match match) {
     const std::lock_guard lock(mutex_);
-    const auto it =
-        std::find_if(items_.begin(), items_.end(), [&](const auto& entry) { return match(entry.first); });
-    if (it == items_.end()) return false;
-    bytes_ -= it->second;
-    items_.erase(it);
-    return true;
+    for (auto* list : {&items_, &late_}) {
+      const auto it =
+          std::find_if(list->begin(), list->end(), [&](const auto& entry) { return match(entry.first); });
+      if (it == list->end()) continue;
+      bytes_ -= it->second;
+      list->erase(it);
+      return true;
+    }
+    return false;
   }
   bool idle() {  // all that was added has left
     const std::lock_guard lock(mutex_);
@@ -105,6 +113,11 @@
   Went write_on() {
     while (!left()) {
       const bool fresh = begun_.empty();
+      if (fresh && until_ && now() >= until_(items_.front().first)) {
+        late_.push_back(std::move(items_.front()));
+        items_.pop_front();
+        continue;
+      }
       std::string bytes = fresh ? word_(items_.front().first) : std::exchange(begun_, {});
       const auto written = socket_.write_now(bytes);
       if (!written) return socket_.break_off(), Went::broken;
@@ -128,8 +141,9 @@
   const Word word_;
   const Slow slow_;
   const Whole whole_;
+  const Until until_;
   std::mutex mutex_;
-  std::deque<std::pair<Item, std::size_t>> items_;
+  std::deque<std::pair<Item, std::size_t>> items_, late_;  // late_: that will not leave any more
   std::optional<Item> writing_;  // left in part: what it holds is given back once it has left
   std::string begun_;            // the rest of it
   std::size_t bytes_ = 0;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -13,12 +13,6 @@
 // threads (docs/design/fleet.md). Clients beyond are read by the lobby's thread.
 constexpr std::size_t kMostReaders = 32;
 constexpr std::size_t kBudgetShare = 4;  // a quarter of the memory for statements and results
-// After the word to leave, where another process took over: the kill comes after the longest deadline, at
-// most so much counted, and this.
-constexpr Duration kLongestCounted = std::chrono::seconds(5);
-constexpr Duration kKillAfter = milliseconds(700);
-constexpr Duration kLookAtOthers = milliseconds(100);
-constexpr Duration kHandOverEvery = milliseconds(1000);
 constexpr Duration kSlowTurn = milliseconds(40);
 // For answers that are queued when all is over. Guards them against a writer that does not run for a moment:
 // a part of a core is shared by all. Still before the kill, 3.7 s after the word to leave.
@@ -68,6 +62,7 @@
   // Beside another process this one accepts once it was asked whether it is ready: until then the other one
   // serves.
   if (!together_ || !config.management || !together_->successor()) open_gate();
+  if (config.fleet.on) keeper_.emplace(config, inbox_, log);
   if (config.management)
     management_ =
         std::make_unique<Management>(*config.management, manager_.figures(), [this] { open_gate(); });
@@ -78,6 +73,7 @@
   inbox_.close();  // whoever waits to post to it goes on, and ends
   core_.join();
   management_.reset();  // it reads the core's figures
+  keeper_.reset();      // it posts to the inbox, which nobody empties any more
   listener_.reset();
   feed_.reset();
   sessions_.clear();
@@ -110,15 +106,6 @@
 
 void Server::wait() { core_.join(); }
 
-// What differs where another process that shares the listener says yes; this one says it no more.
-manager::Leave Server::leave_as() const {
-  manager::Leave leave;
-  leave.successor = together_ && together_->successor();
-  for (const Duration deadline : config_.real.deadlines) leave.most = std::max(leave.most, deadline);
-  leave.most = std::min(leave.most, kLongestCounted) + kKillAfter;
-  return leave;
-}
-
 // Once a turn, so within a sweep of the core: what the operators want and what they are to see; whether the
 // process that this one stood beside has gone before anybody asked for the yes, or another one serves by now
 // though none did when this one was told to end.
@@ -137,27 +124,6 @@
   if (together_ && now() >= next_look_) look_at_others();
 }
 
-// Ten times a second. What others hold of the clients' connections and of the memory is theirs, not ours.
-void Server::look_at_others() {
-  next_look_ = now() + kLookAtOthers;
-  together_->tell({slots_.used(), budget_.used()});
-  const auto theirs = together_->others();
-  slots_.set_aside(theirs.sessions);
-  budget_.set_aside(theirs.bytes);
-  manager_.serve_beside(theirs.serving);
-  const bool other = together_->successor();
-  const auto& service = manager_.service();
-  if (service.leaving() && other && service.listens(now())) manager_.handle(now(), leave_as());
-  if (!service.leaving() && !other && !std::exchange(alone_, true)) open_gate();
-  if (now() >= next_hand_over_) hand_over();
-}
-
-// By the one that serves: a newcomer that has served nobody, and one that leaves, have less to tell.
-void Server::hand_over() {
-  next_hand_over_ = now() + kHandOverEvery;
-  if (gate_.is_open() && !manager_.service().leaving()) hand_over_->offer(manager_.learnt());
-}
-
 void Server::run() {
   while (true) {
     const Time time = now();
@@ -165,6 +131,7 @@
     if (manager_.left(time) || (end_by != Time::max() && time >= end_by + kLastWrites)) break;
     if (listener_ && !manager_.service().listens(time)) undertaker_.bury(std::move(listener_));
     heed_operators();
+    if (keeper_) look_at_part();
     auto events = inbox_.take_until(manager_.next_due());
     const Time began = now();
     const std::size_t count = events.size();
@@ -198,10 +165,16 @@
     manager_.configure(now(), reloaded->queues);
     return follow(reloaded->feed);
   }
+  if (const auto* part = std::get_if<FleetTold>(&event)) {
+    allowed_ = part->allowed;
+    return;
+  }
   auto& told = std::get<manager::Event>(event);
+  if (keeper_ && std::holds_alternative<manager::Arrived>(told)) keeper_->arrived();
   if (auto* leave = std::get_if<manager::Leave>(&told)) {
     *leave = leave_as();
     if (together_) together_->step_down();
+    if (keeper_) keeper_->leave();
     log_.note(leave->successor ? "another process serves from now on" : "nobody else serves here");
   }
   const auto sender = sender_of(told);
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -11,6 +11,7 @@
 #include "net/engine_link.h"
 #include "net/events.h"
 #include "net/feed_follower.h"
+#include "net/fleet_keeper.h"
 #include "net/hand_over.h"
 #include "net/listener.h"
 #include "net/management.h"
@@ -40,6 +41,7 @@
   void heed_operators();
   void look_at_others();
   void hand_over();
+  void look_at_part();
   manager::Leave leave_as() const;
 
   void serve(manager::SessionId session, manager::CallId call, manager::Result result) override;
@@ -84,6 +86,10 @@
   std::optional<Together> together_;        // where processes may share the listener
   std::optional<HandOver> hand_over_;       // the same
   Time next_look_{}, next_hand_over_{};     // at the others; the core's thread only
+  std::optional<FleetKeeper> keeper_;       // where the fleet shares a store
+  duty::Fleet::Allowed allowed_;            // the core's thread only, as the next: what it says
+  duty::Part part_ = 0;                     // and what the core acts on
+  std::int64_t applied_ = -1;               // the same: the table that says so
   bool alone_ = false;                      // the core's thread only, as the next: others have gone
   bool evacuated_ = false;                  // the core's thread only: the wish that it has carried out
   std::unique_ptr<Management> management_;  // its thread reads the core's figures, and opens the gate
--- /dev/null
+++ b/src/net/server_beside.cpp
@@ -0,0 +1,61 @@
+// Other processes: those of this manager during an upgrade, and those of the fleet. The core's thread only.
+#include <algorithm>
+
+#include "net/server.h"
+
+namespace yokestream::net {
+namespace {
+
+using std::chrono::milliseconds;
+
+// After the word to leave, where another process took over: the kill comes after the longest deadline, at
+// most so much counted, and this.
+constexpr Duration kLongestCounted = std::chrono::seconds(5);
+constexpr Duration kKillAfter = milliseconds(700);
+constexpr Duration kLookAtOthers = milliseconds(100);
+constexpr Duration kHandOverEvery = milliseconds(1000);
+// A part is counted on for so much less than it may be: the core looks at it at each turn, 200 ms apart at
+// most.
+constexpr Duration kPartSpare = milliseconds(250);
+
+}  // namespace
+
+// What differs where another process that shares the listener says yes; this one says it no more.
+manager::Leave Server::leave_as() const {
+  manager::Leave leave;
+  leave.successor = together_ && together_->successor();
+  for (const Duration deadline : config_.real.deadlines) leave.most = std::max(leave.most, deadline);
+  leave.most = std::min(leave.most, kLongestCounted) + kKillAfter;
+  return leave;
+}
+
+// Ten times a second. What others hold of the clients' connections and of the memory is theirs, not ours.
+void Server::look_at_others() {
+  next_look_ = now() + kLookAtOthers;
+  together_->tell({slots_.used(), budget_.used()});
+  const auto theirs = together_->others();
+  slots_.set_aside(theirs.sessions);
+  budget_.set_aside(theirs.bytes);
+  manager_.serve_beside(theirs.serving);
+  const bool other = together_->successor();
+  const auto& service = manager_.service();
+  if (service.leaving() && other && service.listens(now())) manager_.handle(now(), leave_as());
+  if (!service.leaving() && !other && !std::exchange(alone_, true)) open_gate();
+  if (now() >= next_hand_over_) hand_over();
+}
+
+// By the one that serves: a newcomer that has served nobody, and one that leaves, have less to tell.
+void Server::hand_over() {
+  next_hand_over_ = now() + kHandOverEvery;
+  if (gate_.is_open() && !manager_.service().leaving()) hand_over_->offer(manager_.learnt());
+}
+
+// Which part of the fleet's load this process counts on now; told on once the core acts on it.
+void Server::look_at_part() {
+  const auto part = now() + kPartSpare < allowed_.until ? allowed_.part : allowed_.after;
+  if (part > 0 && std::exchange(part_, part) != part)
+    manager_.count_fronts(static_cast<double>(duty::kWhole) / static_cast<double>(part));
+  if (std::exchange(applied_, allowed_.epoch) != allowed_.epoch) keeper_->applied(allowed_.epoch);
+}
+
+}  // namespace yokestream::net
--- /dev/null
+++ b/src/standin/duty_troubles.cpp
@@ -0,0 +1,72 @@
+// What goes wrong in a DutyWorld, and what is seen of it.
+#include <algorithm>
+
+#include "standin/duty_process.h"
+
+namespace yokestream::standin {
+namespace {
+
+constexpr Duration kCoreSpare = milliseconds(250);  // by which the core stops early (net/server_beside.cpp)
+
+}  // namespace
+
+void DutyWorld::start(std::size_t at) {
+  Process& p = *processes_[at];
+  if (p.lives) return;
+  ++p.life, ++p.call;
+  p.lives = true, p.stopped = false, p.held.clear(), p.watches = {}, p.acting = {};
+  p.fleet =
+      std::make_unique<Fleet>(settings_.duty, "n" + std::to_string(at), "1", settings_.processes, local(p));
+  p.addresses = std::make_unique<store::Addresses>(std::vector<config::Endpoint>(1), random_());
+  p.acting = p.fleet->allowed();
+  turn(at);
+}
+void DutyWorld::ended(std::size_t p) {
+  if (owner() == p) vacant_since_ = now_;
+}
+void DutyWorld::kill(std::size_t p) {
+  ended(p);
+  processes_[p]->lives = false;
+  ++processes_[p]->life;
+}
+void DutyWorld::stop(std::size_t p) { ended(p), processes_[p]->stopped = true; }
+void DutyWorld::go_on(std::size_t p) {
+  Process& process = *processes_[p];
+  process.stopped = false;
+  for (auto& what : std::exchange(process.held, {})) what();
+  turn(p);
+}
+void DutyWorld::cut(std::size_t p, bool there, bool back) {
+  if (!there || !back) ended(p);
+  processes_[p]->there = there, processes_[p]->back = back;
+  pump(p);
+}
+void DutyWorld::traffic(std::size_t p, double per_s) { processes_[p]->traffic = per_s, turn(p); }
+void DutyWorld::leave(std::size_t p) {
+  ended(p);
+  if (processes_[p]->lives) processes_[p]->fleet->leave(), turn(p);
+}
+
+// ---- what is seen
+
+std::optional<std::size_t> DutyWorld::owner() const {
+  const duty::Names names(settings_.duty.prefix);
+  const std::string line = names.line(Fleet::kDuty);
+  const auto all = store_.range({line, store::after_prefix(line), 0});
+  const auto first =
+      std::min_element(all.begin(), all.end(), [](auto& a, auto& b) { return a.create < b.create; });
+  if (first == all.end()) return std::nullopt;
+  for (std::size_t p = 0; p < processes_.size(); ++p)
+    if (lives(p) && names.line(Fleet::kDuty) + duty::session_name(fleet(p).session()) == first->key) return p;
+  return std::nullopt;
+}
+const Fleet& DutyWorld::fleet(std::size_t p) const { return *processes_[p]->fleet; }
+bool DutyWorld::lives(std::size_t p) const { return processes_[p]->lives; }
+double DutyWorld::part(std::size_t at) const {
+  const Process& p = *processes_[at];
+  if (!p.lives) return 0;
+  const auto part = local(p) + kCoreSpare < p.acting.until ? p.acting.part : p.acting.after;
+  return static_cast<double>(part) / static_cast<double>(duty::kWhole);
+}
+
+}  // namespace yokestream::standin
--- /dev/null
+++ b/src/standin/duty_world.cpp
@@ -0,0 +1,202 @@
+#include "standin/duty_world.h"
+
+#include <algorithm>
+
+#include "standin/duty_process.h"
+#include "standin/history.h"
+#include "store/wire.h"
+
+namespace yokestream::standin {
+namespace {
+
+constexpr Duration kCoreLooks = milliseconds(200);  // until the core acts on what it is told
+constexpr Duration kNetwork = milliseconds(2);
+constexpr double kRepeated = 0.02;  // share of a watch's messages that come twice
+
+}  // namespace
+
+DutyWorld::DutyWorld(const DutySettings& settings)
+    : settings_(settings), random_(settings.seed), checker_(settings.duty.prefix, settings.processes) {
+  for (std::size_t p = 0; p < settings_.processes; ++p) {
+    processes_.push_back(std::make_unique<Process>());
+    processes_[p]->rate = 1 + settings_.rates * (2 * draw() - 1);
+    later(now_ + milliseconds(static_cast<int>(2000 * draw())), [this, p] { start(p); });
+  }
+}
+DutyWorld::~DutyWorld() = default;
+
+void DutyWorld::later(Time time, std::function<void()> what) { due_.push({time, ++order_, std::move(what)}); }
+void DutyWorld::at(Duration since_start, std::function<void()> what) {
+  later(start_ + since_start, std::move(what));
+}
+
+void DutyWorld::run(Duration until) {
+  const Time end = start_ + until;
+  while (figures_.violation.empty()) {
+    const Time next = due_.empty() ? end : std::min(end, due_.top().time);
+    if (store_.next_expiry() <= next) {
+      now_ = std::max(now_, store_.next_expiry());
+      store_.expire(now_);
+      changed();
+      continue;
+    }
+    now_ = std::max(now_, next);
+    if (due_.empty() || due_.top().time > end) break;
+    const auto what = due_.top().what;
+    due_.pop();
+    what();
+  }
+}
+
+Time DutyWorld::local(const Process& p) const {
+  return start_ + std::chrono::duration_cast<Duration>((now_ - start_) * p.rate);
+}
+Duration DutyWorld::delay() { return kNetwork + std::chrono::duration_cast<Duration>(kNetwork * draw()); }
+
+void DutyWorld::check() {
+  double sum = 0;
+  for (std::size_t p = 0; p < processes_.size(); ++p) sum += part(p);
+  figures_.most_in_force = std::max(figures_.most_in_force, sum);
+  if (sum > 1 + 1e-6 && figures_.violation.empty())
+    figures_.violation = "sum: parts of " + std::to_string(sum) + " in force";
+}
+
+// The store may have changed: checked, and told to whoever watches.
+void DutyWorld::changed() {
+  const auto& history = store_.history();
+  if (checked_ == history.size()) return;
+  const duty::Names names(settings_.duty.prefix);
+  for (; checked_ < history.size(); ++checked_) {
+    if (figures_.violation.empty()) figures_.violation = checker_.take(history[checked_]);
+    if (history[checked_].event.now.key != names.beat(Fleet::kDuty)) continue;
+    if (const auto since = std::exchange(vacant_since_, std::nullopt))
+      figures_.vacancies.push_back(std::chrono::duration<double>(history[checked_].at - *since).count());
+  }
+  for (std::size_t p = 0; p < processes_.size(); ++p) {
+    if (!processes_[p]->lives) continue;
+    later(now_ + delay(), [this, p] { pump(p); });
+  }
+}
+
+// ---- one process
+
+// What is meant for this life of it: now, or once it goes on.
+void DutyWorld::reach(std::size_t at, std::uint64_t life, std::function<void()> what) {
+  Process& p = *processes_[at];
+  if (!p.lives || p.life != life) return;
+  if (p.stopped)
+    p.held.push_back([this, at, life, what] { reach(at, life, what); });
+  else
+    what();
+}
+
+void DutyWorld::turn(std::size_t at) {
+  Process& p = *processes_[at];
+  if (!p.lives || p.stopped) return;
+  Fleet& fleet = *p.fleet;
+  fleet.traffic(p.traffic);
+  if (fleet.allowed() != p.acting) {
+    later(now_ + std::chrono::duration_cast<Duration>(kCoreLooks * draw()), [this, at, life = p.life] {
+      reach(at, life, [this, at] {
+        Process& process = *processes_[at];
+        const auto before = std::exchange(process.acting, process.fleet->allowed());
+        process.fleet->applied(process.acting.epoch);
+        check();
+        if (before.epoch != process.acting.epoch) turn(at);
+      });
+    });
+  }
+  const Time local_now = local(p);
+  if (local_now >= p.addresses->not_before()) {
+    if (const auto request = fleet.next(local_now)) {
+      fleet.asked(local_now);
+      ask(at, *request);
+    }
+  }
+  for (std::size_t i = 0; i < Fleet::kSlots; ++i) {
+    const auto wanted = fleet.wanted(static_cast<Fleet::Slot>(i));
+    if (!wanted) p.watches[i].reset();
+    if (wanted && (!p.watches[i] || p.watches[i]->key != wanted->key)) p.watches[i] = wanted, pump_later(at);
+  }
+  const Time due = std::max(fleet.due(local_now), p.addresses->not_before());
+  if (due == Time::max()) return;
+  const auto wait = std::chrono::duration_cast<Duration>((due - local_now) / p.rate);
+  later(now_ + std::max<Duration>(wait, milliseconds(1)),
+        [this, at, life = p.life] { reach(at, life, [this, at] { turn(at); }); });
+}
+
+void DutyWorld::ask(std::size_t at, const store::Request& request) {
+  Process& p = *processes_[at];
+  ++figures_.calls;
+  if (std::holds_alternative<store::Grant>(request))
+    ++figures_.grants_by_second[(now_ - start_) / std::chrono::seconds(1)];
+  const std::uint64_t life = p.life, call = ++p.call;
+  const Time given_up = now_ + std::chrono::duration_cast<Duration>(settings_.duty.ask / p.rate);
+  const auto answer = [this, at, life, call](store::Reply reply) {
+    reach(at, life, [this, at, call, reply] {
+      Process& process = *processes_[at];
+      if (process.call != call) return;
+      ++process.call;
+      if (std::holds_alternative<store::Done>(reply))
+        process.addresses->answered(local(process));
+      else
+        process.addresses->failed(local(process));
+      process.fleet->replied(local(process), reply);
+      turn(at);
+    });
+  };
+  if (away_) return later(now_ + delay(), [answer] { answer(store::Failed{"refused", false}); });
+  later(given_up, [answer, request] {
+    if (store::may_change(request))
+      answer(store::Unknown{"no answer"});
+    else
+      answer(store::Failed{"no answer", false});
+  });
+  if (!p.there || draw() < settings_.lost) return;
+  // a slow call arrives long after who asked has given up, or is dead
+  const bool slow = draw() < settings_.slow;
+  const auto way = slow ? std::chrono::duration_cast<Duration>(settings_.duty.lease * 2 * draw()) : delay();
+  later(now_ + way, [this, at, request, answer] {
+    if (away_) return;
+    const auto result = store_.handle(now_, request);
+    changed();
+    if (!processes_[at]->back || draw() < settings_.replies_lost) return;
+    later(now_ + delay(), [answer, result] {
+      if (result.code == 0)
+        answer(result.done);
+      else
+        answer(store::Failed{result.message, result.code == StoreModel::kOutOfRange});
+    });
+  });
+}
+
+void DutyWorld::pump_later(std::size_t at) {
+  later(now_ + delay(), [this, at] { pump(at); });
+}
+
+void DutyWorld::pump(std::size_t at) {
+  Process& p = *processes_[at];
+  if (!p.lives || p.stopped || !p.back || away_) return;
+  bool heard = false;
+  for (std::size_t i = 0; i < Fleet::kSlots; ++i) {
+    auto& watch = p.watches[i];
+    if (!watch) continue;
+    store::Watched message;
+    message.revision = store_.revision();
+    if (store_.check(*watch).code != 0)
+      message.canceled = true, message.compacted = store_.revision();
+    else
+      for (const auto& [revision, event] : store_.events(*watch)) message.events.push_back(event);
+    if (message.events.empty() && !message.canceled) continue;
+    figures_.watch_events += message.events.size();
+    if (!message.events.empty()) watch->from = message.events.back().now.mod + 1;
+    const auto slot = static_cast<Fleet::Slot>(i);
+    heard = true;
+    p.fleet->heard(slot, message);
+    if (draw() < kRepeated) p.fleet->heard(slot, message);
+    if (message.canceled || draw() < settings_.watch_cut) watch.reset(), p.fleet->cut(slot);
+  }
+  if (heard) turn(at);
+}
+
+}  // namespace yokestream::standin
--- a/src/standin/fleet.h
+++ b/src/standin/fleet.h
@@ -30,6 +30,7 @@
   Duration length = std::chrono::seconds(20);  // of the arrivals; what is open then is waited for
   Duration notice = std::chrono::milliseconds(800);  // until a manager hears of a change to the list
   std::uint64_t seed = 1;
+  bool by_traffic = false;  // each counts on its part by the duty `shares`, in place of one over all
 };
 
 struct FleetSecond {  // of the requests first asked for in it
@@ -69,6 +70,7 @@
 
  private:
   struct Seat;
+  void share_out();
   struct Engine {
     std::unique_ptr<EngineModel> model;
     EngineSettings settings;
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -5,6 +5,7 @@
 
 #include "standin/deadline.h"
 #include "standin/door_measure.h"
+#include "standin/duty_measure.h"
 #include "standin/fleet_situations.h"
 #include "standin/pool.h"
 #include "standin/scenarios.h"
@@ -75,6 +76,11 @@
   fleet_command->add_option("--seconds", seconds, "not used: the clock is virtual");
   fleet_command->add_option("situation", only, "one situation; all without it");
   fleet_command->callback([&] { status = standin::measure_fleet(seed, only) ? 0 : 1; });
+  auto* duty_command =
+      app.add_subcommand("duty", "Measure owners and shares of a fleet on the virtual clock");
+  duty_command->add_option("--seed", seed, "for all random numbers");
+  duty_command->add_option("--seconds", seconds, "not used: the clock is virtual");
+  duty_command->callback([&] { status = standin::measure_duty(seed) ? 0 : 1; });
   auto* demo_command =
       app.add_subcommand("demo", "Show the manager serving, with engines and clients of ours");
   demo_command->add_option("--program", program, "the yokestream program")->required();
--- /dev/null
+++ b/src/store/watcher.cpp
@@ -0,0 +1,85 @@
+#include "store/watcher.h"
+
+#include <array>
+#include <boost/beast/http.hpp>
+
+#include "store/wire.h"
+
+namespace yokestream::store {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::size_t kReadBytes = 8 * 1024;
+
+}  // namespace
+
+struct Watcher::Parser {
+  Parser() {
+    message.eager(true);
+    message.body_limit(boost::none);  // a watch has no end; what waits in it is bounded by read()
+  }
+  http::response_parser<http::string_body> message;
+  std::string held;  // come, and not taken by it yet
+};
+
+Watcher::Watcher() = default;
+Watcher::~Watcher() = default;
+
+int Watcher::descriptor() const { return is_open() ? connection_.descriptor() : -1; }
+
+void Watcher::close() {
+  parser_.reset();
+  connection_.drop();
+}
+
+bool Watcher::open(const Watch& watch, const config::Endpoint& at, net::Time deadline) {
+  close();
+  net::Socket* socket = connection_.renew();
+  std::string why;
+  const std::string bytes = http_of(encode(watch), at);
+  // a call of some hundred bytes fits what a new connection takes at once
+  if (socket && socket->connect(at, deadline, &why) && socket->write_now(bytes) == bytes.size())
+    parser_ = std::make_unique<Parser>();
+  else
+    connection_.drop();
+  return is_open();
+}
+
+// Each message is a line. False: what came is no watch.
+bool Watcher::take_lines(std::deque<Watched>& out) {
+  if (!parser_->message.is_header_done()) return true;
+  if (parser_->message.get().result_int() != 200) return false;
+  std::string& body = parser_->message.get().body();
+  std::size_t from = 0;
+  for (auto end = body.find('\n'); end != std::string::npos; end = body.find('\n', from)) {
+    const auto watched = decode_watched(std::string_view(body).substr(from, end - from));
+    if (!watched) return false;
+    out.push_back(*watched);
+    from = end + 1;
+  }
+  body.erase(0, from);
+  return body.size() <= kMostReply;
+}
+
+std::deque<Watched> Watcher::read() {
+  std::deque<Watched> out;
+  std::array<char, kReadBytes> bytes;
+  bool good = true;
+  while (good && is_open()) {
+    net::Socket* socket = connection_.get();
+    const auto size = socket ? socket->read_now(bytes.data(), bytes.size()) : std::size_t{0};
+    if (!size) break;
+    boost::system::error_code error;
+    parser_->held.append(bytes.data(), *size);
+    const auto taken = parser_->message.put(boost::asio::buffer(parser_->held), error);
+    parser_->held.erase(0, taken);
+    good = *size > 0 && (!error || error == http::error::need_more) && !parser_->message.is_done() &&
+           parser_->held.size() <= kMostReply;
+    good = take_lines(out) && good;
+  }
+  if (!good) close();
+  return out;
+}
+
+}  // namespace yokestream::store
--- /dev/null
+++ b/src/store/wire_out.cpp
@@ -0,0 +1,113 @@
+// Requests to the gateway's JSON.
+#include <json/json.h>
+
+#include <boost/beast/core/detail/base64.hpp>
+
+#include "store/wire.h"
+
+namespace yokestream::store {
+namespace {
+
+namespace base64 = boost::beast::detail::base64;
+
+std::string text_of(std::int64_t number) { return std::to_string(number); }
+
+Json::Value range_of(const std::string& key, const std::string& end) {
+  Json::Value out;
+  out["key"] = to_base64(key);
+  if (!end.empty()) out["range_end"] = to_base64(end);
+  return out;
+}
+Json::Value to_json(const Put& put) {
+  Json::Value out = range_of(put.key, "");
+  out["value"] = to_base64(put.value);
+  if (put.lease != LeaseId::none) out["lease"] = text_of(static_cast<std::int64_t>(put.lease));
+  return out;
+}
+Json::Value to_json(const Delete& del) { return range_of(del.key, del.end); }
+Json::Value to_json(const Range& range) {
+  Json::Value out = range_of(range.key, range.end);
+  if (range.at > 0) out["revision"] = text_of(range.at);
+  return out;
+}
+Json::Value to_json(const Op& op) {
+  constexpr const char* kNames[] = {"request_put", "request_delete_range", "request_range"};
+  Json::Value out;
+  out[kNames[op.index()]] = std::visit([](const auto& o) { return to_json(o); }, op);
+  return out;
+}
+Json::Value to_json(const Compare& c) {
+  Json::Value out = range_of(c.key, "");
+  out["result"] = "EQUAL";
+  out["target"] = c.what == Compare::What::create ? "CREATE" : c.what == Compare::What::mod ? "MOD" : "VALUE";
+  if (c.what == Compare::What::create) out["create_revision"] = text_of(c.revision);
+  if (c.what == Compare::What::mod) out["mod_revision"] = text_of(c.revision);
+  if (c.what == Compare::What::value) out["value"] = to_base64(c.value);
+  return out;
+}
+Json::Value to_json(const Txn& txn) {
+  Json::Value out(Json::objectValue);
+  for (const auto& c : txn.when) out["compare"].append(to_json(c));
+  for (const auto& op : txn.then) out["success"].append(to_json(op));
+  for (const auto& op : txn.otherwise) out["failure"].append(to_json(op));
+  return out;
+}
+Json::Value to_json(const Grant& grant) {
+  Json::Value out;
+  out["TTL"] = text_of(grant.ttl_s);
+  return out;
+}
+template <class Leased>  // KeepAlive, Revoke
+Json::Value to_json(const Leased& leased) {
+  Json::Value out;
+  out["ID"] = text_of(static_cast<std::int64_t>(leased.lease));
+  return out;
+}
+
+std::string write(const Json::Value& value) {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, value);
+}
+
+}  // namespace
+
+std::string to_base64(std::string_view bytes) {
+  std::string out(base64::encoded_size(bytes.size()), '\0');
+  out.resize(base64::encode(out.data(), bytes.data(), bytes.size()));
+  return out;
+}
+std::optional<std::string> from_base64(std::string_view text) {
+  std::string out(base64::decoded_size(text.size()) + 3, '\0');
+  const auto [written, read] = base64::decode(out.data(), text.data(), text.size());
+  out.resize(written);
+  if (to_base64(out) != text) return std::nullopt;  // cut short, or not base64
+  return out;
+}
+
+bool may_change(const Request& request) {
+  if (const auto* txn = std::get_if<Txn>(&request)) {
+    const auto writes = [](const Op& op) { return !std::holds_alternative<Range>(op); };
+    for (const auto* ops : {&txn->then, &txn->otherwise})
+      for (const Op& op : *ops)
+        if (writes(op)) return true;
+    return false;
+  }
+  return !std::holds_alternative<Range>(request);
+}
+
+Call encode(const Request& request) {
+  constexpr const char* kPaths[] = {"/v3/kv/txn", "/v3/kv/range", "/v3/lease/grant", "/v3/lease/keepalive",
+                                    "/v3/lease/revoke"};
+  return {kPaths[request.index()], write(std::visit([](const auto& r) { return to_json(r); }, request)),
+          may_change(request)};
+}
+
+Call encode(const Watch& watch) {
+  Json::Value out;
+  out["create_request"] = range_of(watch.key, watch.end);
+  out["create_request"]["start_revision"] = text_of(watch.from);
+  return {"/v3/watch", write(out), false};
+}
+
+}  // namespace yokestream::store
--- a/tests/node/net_sender_test.cpp
+++ b/tests/node/net_sender_test.cpp
@@ -42,6 +42,22 @@
     : sender(std::make_shared<net::Sender<Written>>(bound, pair.socket, word,
                                                     [this] { writer.admit(sender); })) {}
 
+TEST_CASE("an item whose grant is over never leaves, and is found again as never sent; the others leave") {
+  Pair pair;
+  const auto until = [](const Written& item) { return item.number == 2 ? Time{} : Time::max(); };
+  net::Sender<Written> sender(
+      1000, pair.socket, word, [] {}, {}, until);
+  for (int n = 1; n <= 3; ++n) CHECK(sender.add({n}, 10));
+  CHECK(sender.idle() == false);  // not up yet
+  sender.open();
+  CHECK(sender.idle());
+  CHECK(pair.peer.until("<1><3>"));
+  const auto is = [](int n) { return [n](const Written& i) { return i.number == n; }; };
+  CHECK_FALSE(sender.withdraw(is(1)));
+  CHECK(sender.withdraw(is(2)));
+  CHECK_FALSE(sender.withdraw(is(2)));
+}
+
 TEST_CASE("a request that the socket did not take is found again as never sent") {
   Sending sending(1000);
   Pair& pair = sending.pair;
--- a/tests/processes/program.cpp
+++ b/tests/processes/program.cpp
@@ -27,12 +27,19 @@
 Folder::~Folder() { std::filesystem::remove_all(path_); }
 
 Program::Program(const Folder& folder, const std::string& config, int listener,
-                 std::map<std::string, std::string> environment) {
+                 std::map<std::string, std::string> environment, const std::string& operators) {
   static int count = 0;
   const std::string path = folder.path() + "/config-" + std::to_string(++count) + ".json";
   std::ofstream(path) << config;
+  const std::string own = path + ".operators";
+  std::ofstream(own) << operators;
   environment.emplace("TMPDIR", folder.path());
   if (listener >= 0) environment.emplace("RELAY_LISTEN_FD", std::to_string(kHandedDown));
+  std::vector<std::string> all = {"yokestream", "serve", "-c", path};
+  if (!operators.empty()) all.insert(all.end(), {"-o", own});
+  std::vector<char*> arguments;
+  for (auto& word : all) arguments.push_back(word.data());
+  arguments.push_back(nullptr);
   std::vector<std::string> words;
   for (const auto& [name, value] : environment) words.push_back(name + "=" + value);
   std::vector<char*> pointers;
@@ -44,7 +51,7 @@
   if (child_ == 0) {
     ::dup2(pipe[1], 2);
     if (listener >= 0) ::dup2(listener, kHandedDown);
-    ::execle(YOKESTREAM_PROGRAM, "yokestream", "serve", "-c", path.c_str(), nullptr, pointers.data());
+    ::execve(YOKESTREAM_PROGRAM, arguments.data(), pointers.data());
     ::_exit(127);
   }
   ::close(pipe[1]);
@@ -65,14 +72,15 @@
   return false;
 }
 
-config::Endpoint Program::operators() {
-  constexpr const char* kWords = "operators on ";
-  if (door_.port == 0 && until(kWords)) {
-    const auto at = said_.rfind(kWords) + std::string(kWords).size();
-    door_ = config::parse_endpoint("door", said_.substr(at, said_.find_first_of(" \n", at) - at));
+config::Endpoint Program::told(const char* words, config::Endpoint& known) {
+  if (known.port == 0 && (said_.find(words) != std::string::npos || until(words))) {
+    const auto at = said_.rfind(words) + std::string(words).size();
+    known = config::parse_endpoint("told", said_.substr(at, said_.find_first_of(" ,\n", at) - at));
   }
-  return door_;
+  return known;
 }
+config::Endpoint Program::operators() { return told("operators on ", door_); }
+config::Endpoint Program::serves_on() { return told("serves on ", clients_); }
 
 void Program::tell(int signal) const { ::kill(child_, signal); }
 
--- a/tests/processes/program.h
+++ b/tests/processes/program.h
@@ -26,26 +26,30 @@
 
 class Program {
  public:
-  // `config`: the platform file's text. `listener` below 0: none is handed down.
+  // `config`: the platform file's text. `listener` below 0: none is handed down. `operators`: the text of the
+  // operator file; empty: there is none.
   Program(const Folder& folder, const std::string& config, int listener,
-          std::map<std::string, std::string> environment = {});
+          std::map<std::string, std::string> environment = {}, const std::string& operators = "");
   ~Program();  // SIGKILL, if it has not ended
   Program(const Program&) = delete;
 
   bool until(const std::string& what);  // reads what it says up to a line with this; false: it ended first
   config::Endpoint operators();         // once it serves: its door
   void tell(int signal) const;
-  bool has_ended();  // without waiting
-  int ended();       // waits for its end: the exit status, or minus the signal
+  pid_t id() const { return child_; }
+  bool has_ended();              // without waiting
+  int ended();                   // waits for its end: the exit status, or minus the signal
+  config::Endpoint serves_on();  // once it serves: its clients' address
   const std::string& said() const { return said_; }
 
  private:
   pid_t child_ = -1;
   std::FILE* notes_ = nullptr;
   bool reap(int options);
+  config::Endpoint told(const char* words, config::Endpoint& known);
 
   std::string said_;
-  config::Endpoint door_;
+  config::Endpoint door_, clients_;
   bool over_ = false;
   int status_ = 0;
 };
