--- a/src/duty/election.cpp
+++ b/src/duty/election.cpp
@@ -107,6 +107,13 @@
   beat_read_ = now;
 }
 
+std::string Election::digest() const {
+  std::string out = own_ + '|' + ahead_;
+  for (const auto n : {place_, ahead_create_, beat_mod_}) out += '|' + std::to_string(n);
+  for (const bool b : {out_, look_, unsure_, leaving_, ahead_owns_, idle()}) out += b ? '1' : '0';
+  return out;
+}
+
 std::optional<store::Watch> Election::ahead() const {
   if (place_ == 0 || ahead_.empty() || look_ || leaving_) return std::nullopt;
   return store::Watch{ahead_, {}, seen_ + 1};
--- a/src/duty/election.h
+++ b/src/duty/election.h
@@ -38,6 +38,8 @@
   bool owner() const { return place_ > 0 && ahead_.empty() && !look_ && !leaving_; }
   bool out_of_line() const { return place_ == 0 && !unsure_; }
   store::Revision term() const { return place_; }
+  // All that it knows, but for times, as one text: two that say the same go on alike. For searches.
+  std::string digest() const;
   store::Compare guard() const { return {store::Compare::What::create, own_, place_, {}}; }
 
  private:
--- a/src/duty/fleet.cpp
+++ b/src/duty/fleet.cpp
@@ -32,7 +32,9 @@
     case Asker::format:
       return known_format_ || leaving_ ? Time::max() : again_;
     case Asker::view:
-      return !serving || view_.known() ? Time::max() : again_;
+      // Read again now and then: a watch whose connection died without a word stays silent for ever.
+      if (!serving) return Time::max();
+      return view_.known() ? std::max(again_, view_at_ + settings_.progress) : again_;
     case Asker::tell: {
       if (!serving || told_ == fact_) return Time::max();
       const double was = told_ ? told_->traffic : 0;
@@ -120,7 +122,6 @@
 
 void Fleet::asked(Time now) {
   out_ = asker(now);
-  asked_at_ = now;
   if (out_ == Asker::session) session_.asked(now);
   if (out_ == Asker::election) election_.asked();
   if (out_ == Asker::tell) told_ = fact_;
--- a/src/duty/fleet.h
+++ b/src/duty/fleet.h
@@ -51,7 +51,7 @@
   void applied(std::int64_t epoch);
   void leave();  // gives up its place, then its lease
   bool left() const { return leaving_ && lease_over_; }
-  bool owner() const { return election_.owner(); }
+  bool owner() const { return trouble_.empty() && election_.owner(); }
   store::Revision term() const { return election_.term(); }
   store::LeaseId session() const { return session_.lease(); }
   // Empty, or why it stands still: a foreign form, an unreadable record, a store that was set back.
@@ -89,7 +89,7 @@
   Part granted_ = 0, base_ = 0;  // by the table; without one, as an earlier one left it. 0: none yet
   std::int64_t epoch_ = -1;
   store::Revision highest_ = 0;  // of the store, as far as seen
-  Time told_at_ = Time::min(), look_at_ = Time::min(), again_ = Time::min(), asked_at_ = Time::min();
+  Time told_at_ = Time::min(), view_at_{}, look_at_ = Time::min(), again_ = Time::min();
   store::LeaseId of_ = store::LeaseId::none;  // the incarnation that all this is of
   std::string trouble_;
 };
--- a/src/duty/fleet_replies.cpp
+++ b/src/duty/fleet_replies.cpp
@@ -26,6 +26,7 @@
   } else if (out_ == Asker::election) {
     election_.replied(now, reply);
     if (election_.owner()) look_at_ = std::min(look_at_, now);
+    if (draft_ && draft_->term != election_.term()) draft_.reset();  // it was this owner's in another term
   } else if (done) {
     take(now, *done);
   } else {
@@ -44,6 +45,7 @@
     if (!known_format_) trouble_ = "the store holds another form under " + names_.root;
   } else if (out_ == Asker::view) {
     view_.took(done);
+    view_at_ = now;
     see_state();
   } else if (out_ == Asker::tell) {
     told(now, done);
@@ -109,6 +111,8 @@
     return begin_again();
   }
   table_ = std::move(table);
+  // A write that was given up has come after all: what was made from the table before it no longer follows.
+  if (draft_ && draft_->epoch != table_->epoch + 1) draft_.reset();
   const auto own = table_->parts.find(session_name(of_));
   if (own == table_->parts.end() || table_->epoch <= epoch_) return;
   granted_ = own->second;
--- a/src/duty/settings.h
+++ b/src/duty/settings.h
@@ -20,6 +20,7 @@
   double drift = 0.01;                           // by which the rates of two clocks may differ
   Duration progress = std::chrono::seconds(15);  // an owner that does nothing for so long loses its duty
   Duration look = std::chrono::seconds(5);       // how often the owner looks at the fleet
+  Duration spread = std::chrono::seconds(75);    // over which all come back to a store that was away
   Duration ask = std::chrono::milliseconds(900);  // a call of the store takes no longer
 
   // For tests alone: guards that are left out, so that the checker is seen to find what they guard against.
--- a/src/net/fleet_keeper.cpp
+++ b/src/net/fleet_keeper.cpp
@@ -23,7 +23,7 @@
       log_(log),
       fleet_(config.fleet, config.name, "1", config.settings.fronts, now()),
       ask_within_(config.fleet.ask),
-      client_(config.fleet.store, config.seed),
+      client_(config.fleet.store, config.seed, config.fleet.spread),
       measure_at_(now() + kMeasureEvery),
       news_(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
   if (!news_) throw std::system_error(errno, std::generic_category(), "cannot keep to the fleet");
--- a/src/operator/read_fleet.cpp
+++ b/src/operator/read_fleet.cpp
@@ -33,6 +33,7 @@
   fleet.drift = section.number("drift", fleet.drift, 0, 0.2);
   fleet.progress = section.time("progress_ms", fleet.progress, 1000, 3'600'000);
   fleet.look = section.time("look_ms", fleet.look, 200, 600'000);
+  fleet.spread = section.time("spread_ms", fleet.spread, 100, 3'600'000);
   fleet.ask = section.time("ask_ms", fleet.ask, 50, 60'000);
   section.done();
   if (fleet.on && fleet.store.empty()) throw config::ConfigError(section.path("store"), "no address");
--- a/src/standin/duty_measure.cpp
+++ b/src/standin/duty_measure.cpp
@@ -13,6 +13,7 @@
 
 constexpr int kFaultRuns = 10;
 constexpr double kActsWithin = 6 * 1.01 + 1;  // seconds: a lease by the slowest clock, and one
+constexpr double kMostBack = 0.05;            // of all managers, in one second after an outage
 constexpr std::size_t kFleets[] = {3, 30, 300};
 
 // Kills, stops, cuts and outages at random; then all is well for a while.
@@ -82,7 +83,7 @@
   DutyWorld world(settings);
   world.at(seconds(60), [&world] { world.away(true); });
   world.at(seconds(120), [&world] { world.away(false); });
-  world.run(seconds(180));
+  world.run(seconds(240));
   std::size_t most = 0;
   for (const auto& [second, grants] : world.figures().grants_by_second)
     if (second >= 120) most = std::max(most, grants);
@@ -129,7 +130,7 @@
   std::printf("after an outage of 60 s at most %.3f of 300 managers come back in one second\n", back);
   const double off = play_uneven(seed, false), on = play_uneven(seed, true);
   std::printf("one manager in five has four times the traffic: kept %.3f off, %.3f on\n", off, on);
-  const bool holds = violations == 0 && worst <= kActsWithin && back <= 0.08 && on >= off - 0.01;
+  const bool holds = violations == 0 && worst <= kActsWithin && back <= kMostBack && on >= off - 0.01;
   std::printf("duty: %s violations %d, new owner %.1f s at worst, back in a second %.3f, uneven %+.3f\n",
               holds ? "holds" : "falls short", violations, worst, back, on - off);
   return holds;
--- a/src/standin/duty_troubles.cpp
+++ b/src/standin/duty_troubles.cpp
@@ -17,7 +17,8 @@
   p.lives = true, p.stopped = false, p.held.clear(), p.watches = {}, p.acting = {};
   p.fleet =
       std::make_unique<Fleet>(settings_.duty, "n" + std::to_string(at), "1", settings_.processes, local(p));
-  p.addresses = std::make_unique<store::Addresses>(std::vector<config::Endpoint>(1), random_());
+  p.addresses =
+      std::make_unique<store::Addresses>(std::vector<config::Endpoint>(1), random_(), settings_.duty.spread);
   p.acting = p.fleet->allowed();
   turn(at);
 }
--- a/src/standin/link.cpp
+++ b/src/standin/link.cpp
@@ -82,8 +82,12 @@
     }
     std::size_t i = 2;
     for (auto it = pairs_.begin(); it != pairs_.end(); i += 2) {
-      const bool good = carry(it->near, it->far, it->there, there_, all[i].revents != 0, it->near_over) &&
-                        carry(it->far, it->near, it->back, back_, all[i + 1].revents != 0, it->far_over);
+      const Way there = there_, back = back_;
+      it->spoilt = it->spoilt || (there == Way::lose && (!it->there.empty() || all[i].revents != 0)) ||
+                   (back == Way::lose && (!it->back.empty() || all[i + 1].revents != 0));
+      const bool good = !(it->spoilt && there != Way::lose && back != Way::lose) &&
+                        carry(it->near, it->far, it->there, there, all[i].revents != 0, it->near_over) &&
+                        carry(it->far, it->near, it->back, back, all[i + 1].revents != 0, it->far_over);
       it = good ? std::next(it) : pairs_.erase(it);
     }
     std::size_t held = 0;
--- a/src/standin/link.h
+++ b/src/standin/link.h
@@ -32,7 +32,8 @@
  private:
   struct Pair {
     net::Fd near, far;
-    std::string there, back;                   // held
+    std::string there, back;  // held
+    bool spoilt = false;      // some of it was lost: no bytes pass any more once others would
     bool near_over = false, far_over = false;  // that end is closed; what is held of it still arrives
   };
   void run();
--- a/src/store/addresses.cpp
+++ b/src/store/addresses.cpp
@@ -5,8 +5,10 @@
 
 namespace yokestream::store {
 
-Addresses::Addresses(std::vector<config::Endpoint> all, std::uint64_t seed)
-    : all_(std::move(all)), random_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {
+Addresses::Addresses(std::vector<config::Endpoint> all, std::uint64_t seed, Duration spread)
+    : all_(std::move(all)),
+      spread_(spread),
+      random_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {
   if (all_.empty()) throw std::invalid_argument("no address of the store");
   at_ = random_() % all_.size();
 }
@@ -25,8 +27,8 @@
   at_ = (at_ + 1) % all_.size();
   if (++failed_in_row_ % all_.size() != 0) return;  // another one may answer at once
   std::uniform_real_distribution<double> draw(0, 1);
-  const Duration most = now - away_since_ >= kAway ? kSpread : wait_;
-  wait_ = std::min(2 * wait_, kSpread);
+  const Duration most = std::min(spread_, std::max(wait_, kTimesAway * (now - away_since_)));
+  wait_ = std::min(2 * wait_, spread_);
   not_before_ = now + std::chrono::duration_cast<Duration>(most * draw(random_));
 }
 
--- a/src/store/addresses.h
+++ b/src/store/addresses.h
@@ -2,9 +2,9 @@
 // address and the moment from which it may be asked.
 //
 // Each manager begins at an address of its own and stays there while it answers. After a failure it goes to
-// the next one; once all have failed it waits, longer each round, a random part of the wait. After an outage
-// no second sees more than a twentieth of all managers come back: the last wait spreads them over
-// kSpread. One thread at a time. Memory: the list.
+// the next one; once all have failed it waits a random part of ten times as long as the store has been away,
+// `spread` at most. So after an outage of seconds no second sees more than a twentieth of all managers come
+// back. One thread at a time. Memory: the list.
 #pragma once
 
 #include <cstdint>
@@ -22,11 +22,9 @@
 class Addresses {
  public:
   static constexpr Duration kFirstWait = std::chrono::milliseconds(200);
-  // Of which a manager draws its moment, evenly, once the store was away for longer than kAway.
-  static constexpr Duration kSpread = std::chrono::seconds(30);
-  static constexpr Duration kAway = std::chrono::seconds(5);
+  static constexpr int kTimesAway = 10;
 
-  Addresses(std::vector<config::Endpoint> all, std::uint64_t seed);
+  Addresses(std::vector<config::Endpoint> all, std::uint64_t seed, Duration spread);
 
   const config::Endpoint& current() const { return all_[at_]; }
   Time not_before() const { return not_before_; }
@@ -35,6 +33,7 @@
 
  private:
   const std::vector<config::Endpoint> all_;  // one at least
+  const Duration spread_;
   std::minstd_rand random_;
   std::size_t at_ = 0, failed_in_row_ = 0;
   Duration wait_ = kFirstWait;
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -90,8 +90,8 @@
   if (socket_) socket_->break_off();
 }
 
-Client::Client(std::vector<config::Endpoint> addresses, std::uint64_t seed)
-    : addresses_(std::move(addresses), seed) {}
+Client::Client(std::vector<config::Endpoint> addresses, std::uint64_t seed, net::Time::duration spread)
+    : addresses_(std::move(addresses), seed, spread) {}
 
 // The one that was kept open, if the store has not closed it meanwhile; else a new one.
 net::Socket* Client::connected(net::Time deadline, std::string* why) {
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -39,7 +39,7 @@
 
 class Client {
  public:
-  Client(std::vector<config::Endpoint> addresses, std::uint64_t seed);
+  Client(std::vector<config::Endpoint> addresses, std::uint64_t seed, net::Time::duration spread);
 
   // Asks, by `deadline`; before not_before() it fails at once.
   Reply ask(const Request& request, net::Time deadline);
--- /dev/null
+++ b/tests/node/duty_fixture.h
@@ -0,0 +1,34 @@
+// What the tests of duties share: a calm world, and what stands in its store.
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include "helper.h"
+#include "standin/duty_world.h"
+
+namespace yokestream::test {
+
+using duty::Fleet;
+using standin::DutySettings;
+using standin::DutyWorld;
+
+inline DutySettings calm(std::size_t processes = 3) {
+  DutySettings s;
+  s.processes = processes;
+  s.lost = s.replies_lost = s.slow = s.watch_cut = 0;
+  return s;
+}
+inline bool well(const DutyWorld& world) {
+  CHECK(world.figures().violation == "");
+  return world.figures().violation.empty();
+}
+inline store::Range line() {
+  const std::string prefix = duty::Names("/yokestream").line(duty::Fleet::kDuty);
+  return {prefix, store::after_prefix(prefix), 0};
+}
+inline std::optional<duty::Table> table(const DutyWorld& world) {
+  const auto found = const_cast<DutyWorld&>(world).store().range({"/yokestream/state/shares", {}, 0});
+  return found.empty() ? std::nullopt : duty::decode_table(found[0].value);
+}
+
+}  // namespace yokestream::test
--- a/tests/node/duty_test.cpp
+++ b/tests/node/duty_test.cpp
@@ -1,36 +1,10 @@
-// Owners, terms, shares and acknowledgements on the virtual clock: single situations, random runs, and each
-// rule of the checker shown to find its violation.
-#include <doctest/doctest.h>
-
-#include "helper.h"
-#include "standin/duty_world.h"
+// Owners, terms, shares and acknowledgements on the virtual clock: single situations.
+#include "duty_fixture.h"
 
 namespace yokestream::test {
 namespace {
 
 using duty::Fleet;
-using standin::DutySettings;
-using standin::DutyWorld;
-
-DutySettings calm(std::size_t processes = 3) {
-  DutySettings s;
-  s.processes = processes;
-  s.lost = s.replies_lost = s.slow = s.watch_cut = 0;
-  return s;
-}
-bool well(const DutyWorld& world) {
-  CHECK(world.figures().violation == "");
-  return world.figures().violation.empty();
-}
-store::Range line() {
-  const std::string prefix = duty::Names("/yokestream").line(Fleet::kDuty);
-  return {prefix, store::after_prefix(prefix), 0};
-}
-std::optional<duty::Table> table(const DutyWorld& world) {
-  const auto found = const_cast<DutyWorld&>(world).store().range({"/yokestream/state/shares", {}, 0});
-  return found.empty() ? std::nullopt : duty::decode_table(found[0].value);
-}
-
 TEST_CASE("three processes have one owner, one table and parts by their traffic") {
   DutyWorld world(calm());
   world.at(5s, [&] { world.traffic(0, 60); });
@@ -145,13 +119,13 @@
   DutyWorld world(calm(300));
   world.at(60s, [&] { world.away(true); });
   world.at(120s, [&] { world.away(false); });
-  world.run(180s);
+  world.run(240s);
   well(world);
   std::size_t most = 0, all = 0;
   for (const auto& [second, grants] : world.figures().grants_by_second)
     if (second >= 120) most = std::max(most, grants), all += grants;
   CHECK(all >= 290);
-  CHECK(most <= 15 + 15);  // of 300, and one second's chance
+  CHECK(most <= 15);  // a twentieth
 }
 
 TEST_CASE("a store that was set back, a foreign form, an unreadable record: told, left alone") {
@@ -195,91 +169,5 @@
   CHECK(world.part(1) > 0.4);
 }
 
-TEST_CASE("random troubles: one owner, terms that grow, all acknowledged, never more than the whole") {
-  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    DutySettings settings;
-    settings.processes = 3 + seed % 5;
-    settings.seed = seed;
-    DutyWorld world(settings);
-    std::mt19937 random(static_cast<std::uint32_t>(seed));
-    for (auto time = 10s; time < 900s; time += 4s) {
-      const std::size_t p = random() % settings.processes;
-      const auto what = random() % 9;
-      world.at(time, [&world, p, what] {
-        if (what == 0) world.kill(p);
-        if (what <= 2) world.start(p);
-        if (what == 3) world.stop(p);
-        if (what == 4 || what == 5) world.go_on(p);
-        if (what == 6) world.cut(p, false, true);
-        if (what == 7) world.cut(p, true, false);
-        if (what == 8) world.cut(p, true, true), world.traffic(p, 1 + 10.0 * static_cast<double>(p));
-      });
-    }
-    for (std::size_t p = 0; p < settings.processes; ++p)
-      world.at(900s, [&world, p] { world.cut(p, true, true), world.go_on(p), world.start(p); });
-    world.run(1000s);
-    INFO("seed " << seed << " at " << std::chrono::duration<double>(world.time()).count() << " s");
-    REQUIRE(well(world));
-    CHECK(world.owner().has_value());
-    CHECK(table(world)->epoch > 3);
-  }
-}
-
-// Each rule finds its violation: one guard is left out, and the checker names the rule.
-std::string found_without(unsigned guard) {
-  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    DutySettings settings;
-    settings.processes = 4;
-    settings.seed = seed;
-    settings.slow = 0.3;
-    settings.duty.without = guard;
-    DutyWorld world(settings);
-    for (int i = 0; i < 40; ++i) {
-      const std::size_t p = static_cast<std::size_t>(i) % 4;
-      world.at(20s + 20s * i, [&world] {
-        if (world.owner()) world.stop(*world.owner());
-      });
-      world.at(33s + 20s * i, [&world] {
-        for (std::size_t q = 0; q < 4; ++q) world.go_on(q);
-      });
-      world.at(25s + 20s * i, [&world, p, i] { world.traffic(p, 1 + 30 * (i % 3)); });
-    }
-    world.run(820s);
-    if (!world.figures().violation.empty()) return world.figures().violation;
-  }
-  return "";
-}
-
-TEST_CASE("clocks whose rates differ by more than is assumed break the rule, and the checker says so") {
-  DutySettings settings;
-  settings.processes = 4;
-  settings.rates = 0.4;
-  std::string found;
-  for (settings.seed = 1; settings.seed <= 20 && found.empty(); ++settings.seed) {
-    DutyWorld world(settings);
-    for (int i = 0; i < 30; ++i) {
-      world.at(20s + 20s * i, [&world] {
-        if (world.owner()) world.cut(*world.owner(), false, false);
-      });
-      world.at(33s + 20s * i, [&world] {
-        for (std::size_t p = 0; p < 4; ++p) world.cut(p, true, true);
-      });
-      world.at(25s + 20s * i,
-               [&world, i] { world.traffic(static_cast<std::size_t>(i % 4), 1 + 30 * (i % 3)); });
-    }
-    world.run(620s);
-    found = world.figures().violation;
-  }
-  CHECK(found.rfind("sum", 0) == 0);
-}
-
-TEST_CASE("the checker names the rule whose guard is left out") {
-  CHECK(found_without(0) == "");
-  CHECK(found_without(duty::Settings::kTerm).rfind("S1", 0) == 0);
-  CHECK(found_without(duty::Settings::kAcknowledged).rfind("S3", 0) == 0);
-  CHECK(found_without(duty::Settings::kExpiry).rfind("sum", 0) == 0);
-  CHECK(found_without(duty::Settings::kFree).rfind("sum", 0) == 0);
-}
-
 }  // namespace
 }  // namespace yokestream::test
--- a/tests/node/store_test.cpp
+++ b/tests/node/store_test.cpp
@@ -59,23 +59,23 @@
   CHECK_FALSE(decode_watched(R"({"result":{"events":[{"kv":{}}]}})"));
 }
 
-TEST_CASE("300 clients that lost the store come back over half a minute, none in a crowd") {
+TEST_CASE("300 clients that lost the store come back over a minute, none in a crowd") {
   std::map<std::int64_t, int> by_second;
   for (std::uint64_t seed = 0; seed < 300; ++seed) {
-    Addresses addresses(std::vector<config::Endpoint>(3), seed * 7919);
+    Addresses addresses(std::vector<config::Endpoint>(3), seed * 7919, 75s);
     Time time{1000s};
     for (; time < Time{1060s}; time = std::max(time + 1ms, addresses.not_before())) addresses.failed(time);
     ++by_second[time.time_since_epoch() / 1s];
     addresses.answered(time);
     CHECK(addresses.not_before() <= time);
   }
-  for (const auto& [second, count] : by_second) CHECK(count <= 25);
+  for (const auto& [second, count] : by_second) CHECK(count <= 15);
 }
 
 struct Away {
   StoreServer server;
   Link link{server.endpoint()};
-  Client client{{link.endpoint()}, 7};
+  Client client{{link.endpoint()}, 7, 1s};
   Reply ask(const Request& request, Duration patience = kSoon) {
     return client.ask(request, now() + patience);
   }
