--- a/tests/processes/duty_memory.cpp
+++ b/tests/processes/duty_memory.cpp
@@ -14,11 +14,11 @@
 namespace {
 
 // Kilobytes resident, once it has said that it serves and, with the part on, owns the duty.
-long resident(const config::Endpoint& engine, const std::string& operators) {
+long resident(const config::Endpoint& engine, const std::string& operators, bool on = false) {
   Folder folder;
   Program program(folder, config_text("127.0.0.1:0", to_string(engine)), -1, {}, operators);
   program.until("serves on");
-  if (!operators.empty()) program.until("owns the duty shares, term");
+  if (on) program.until("owns the duty shares, term");
   std::ifstream status("/proc/" + std::to_string(program.id()) + "/status");
   for (std::string word; status >> word;) {
     long kb = 0;
@@ -37,8 +37,8 @@
   Fickle engine(0, true);
   yokestream::standin::StoreServer store;
   const long off = resident(engine.at(), ""), none = resident(engine.at(), "{}");
-  const long on =
-      resident(engine.at(), R"({fleet: {on: true, store: [")" + to_string(store.endpoint()) + R"("]}})");
+  const std::string text = R"({fleet: {on: true, store: [")" + to_string(store.endpoint()) + R"("]}})";
+  const long on = resident(engine.at(), text, true);
   std::printf(
       "resident: %ld KB without an operator file, %ld KB with an empty one, %ld KB with the part on\n", off,
       none, on);
