Name sessions in one place, and draw the duty's random troubles in one

Election had a hex() of its own beside session_name(); the measurement and the random test listed the same nine troubles; Link declared a function that nothing defined. Same draws in the same order, same keys; no assertion changed.

--- a/src/duty/election.cpp
+++ b/src/duty/election.cpp
@@ -2,22 +2,18 @@
 
 #include <algorithm>
 
+#include "duty/names.h"
+
 namespace yokestream::duty {
 namespace {
 
 constexpr Duration kAgain = std::chrono::milliseconds(250);  // after a call that brought nothing
 
-std::string hex(store::LeaseId lease) {
-  char text[17];
-  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(lease));
-  return text;
-}
-
 }  // namespace
 
 void Election::stand(store::LeaseId lease, const std::string& name) {
   if (lease == lease_) return;
-  lease_ = lease, name_ = name, own_ = line_ + hex(lease);
+  lease_ = lease, name_ = name, own_ = line_ + session_name(lease);
   place_ = 0, ahead_.clear(), look_ = unsure_ = leaving_ = false, beat_mod_ = -1;
 }
 
--- a/src/standin/duty_measure.cpp
+++ b/src/standin/duty_measure.cpp
@@ -24,16 +24,8 @@
   DutyWorld world(settings);
   std::mt19937_64 random(seed * 31);
   for (Duration time = seconds(10); time < length - seconds(60); time += seconds(3)) {
-    const auto p = random() % processes, what = random() % 9;
-    world.at(time, [&world, p, what] {
-      if (what == 0) world.kill(p);
-      if (what <= 2) world.start(p);
-      if (what == 3) world.stop(p);
-      if (what == 4 || what == 5) world.go_on(p);
-      if (what == 6) world.cut(p, false, true);
-      if (what == 7) world.cut(p, true, false);
-      if (what == 8) world.cut(p, true, true), world.traffic(p, 1 + static_cast<double>(p % 7));
-    });
+    const auto p = random() % processes, what = random() % DutyWorld::kTroubles;
+    world.at(time, [&world, p, what] { world.trouble(p, what, 1 + static_cast<double>(p % 7)); });
   }
   world.run(length);
   return world.figures();
--- a/src/standin/duty_troubles.cpp
+++ b/src/standin/duty_troubles.cpp
@@ -48,6 +48,16 @@
   if (processes_[p]->lives) processes_[p]->fleet->leave(), turn(p);
 }
 
+void DutyWorld::trouble(std::size_t p, std::uint64_t which, double per_s) {
+  if (which == 0) kill(p);
+  if (which <= 2) start(p);
+  if (which == 3) stop(p);
+  if (which == 4 || which == 5) go_on(p);
+  if (which == 6) cut(p, false, true);
+  if (which == 7) cut(p, true, false);
+  if (which == 8) cut(p, true, true), traffic(p, per_s);
+}
+
 // ---- what is seen
 
 std::optional<std::size_t> DutyWorld::owner() const {
--- a/src/standin/duty_world.h
+++ b/src/standin/duty_world.h
@@ -54,6 +54,9 @@
   void away(bool away) { away_ = away; }                 // the store answers nobody
   void traffic(std::size_t process, double per_s);
   void leave(std::size_t process);
+  // One of these, or a start, by a number below kTroubles; the last one sets its traffic, too.
+  static constexpr unsigned kTroubles = 9;
+  void trouble(std::size_t process, std::uint64_t which, double per_s);
 
   std::optional<std::size_t> owner() const;  // by the store's line, if it lives
   const duty::Fleet& fleet(std::size_t process) const;
--- a/src/standin/link.h
+++ b/src/standin/link.h
@@ -38,7 +38,6 @@
   };
   void run();
   bool carry(const net::Fd& from, const net::Fd& to, std::string& held, Way way, bool readable, bool& over);
-  void change();
 
   const config::Endpoint to_;
   net::Fd listener_, news_;
--- a/tests/node/duty_random_test.cpp
+++ b/tests/node/duty_random_test.cpp
@@ -14,16 +14,8 @@
     std::mt19937 random(static_cast<std::uint32_t>(seed));
     for (auto time = 10s; time < 900s; time += 4s) {
       const std::size_t p = random() % settings.processes;
-      const auto what = random() % 9;
-      world.at(time, [&world, p, what] {
-        if (what == 0) world.kill(p);
-        if (what <= 2) world.start(p);
-        if (what == 3) world.stop(p);
-        if (what == 4 || what == 5) world.go_on(p);
-        if (what == 6) world.cut(p, false, true);
-        if (what == 7) world.cut(p, true, false);
-        if (what == 8) world.cut(p, true, true), world.traffic(p, 1 + 10.0 * static_cast<double>(p));
-      });
+      const auto what = random() % DutyWorld::kTroubles;
+      world.at(time, [&world, p, what] { world.trouble(p, what, 1 + 10.0 * static_cast<double>(p)); });
     }
     for (std::size_t p = 0; p < settings.processes; ++p)
       world.at(900s, [&world, p] { world.cut(p, true, true), world.go_on(p), world.start(p); });
