Routes: which engines an area's requests may go to, as a set that the module is told

The core refuses what is closed at once, takes back what is queued and may no longer go, judges the module's choice again as it sends, and tells when nothing is out that the table bars. The grant (S4) now goes with attempts at touched areas alone, instead of all: grant_until() is gone.

Tests: tests/node/routing_test.cpp (10 cases); the two grant tests moved there.

--- a/include/lynxstand/admission.h
+++ b/include/lynxstand/admission.h
@@ -14,6 +14,7 @@
 //    std::invalid_argument for an arriving query whose class or tenant the settings do not have.
 #pragma once
 
+#include <bitset>
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,6 +28,10 @@
 
 // ---------------------------------------------------------------- events
 
+// Sets of engines, by the slots that the list gives them.
+inline constexpr std::size_t kMostSlots = 1024;
+using EngineSet = std::bitset<kMostSlots>;
+
 enum class EngineState { up, draining, gone };
 struct EngineEntry {
   EngineId engine;
@@ -36,6 +41,7 @@
   EngineState state = EngineState::up;
   double weight = 1;
   std::optional<Time> started;  // its last start, unless long ago
+  std::uint32_t slot = 0;       // in sets of engines; kMostSlots or more: in none
 };
 enum class ListKind { changes, full, remembered, failed };
 struct EngineList {
@@ -52,6 +58,7 @@
   std::optional<Duration> work;  // all its threads' work as one thread's time, as told
   Duration time_left{};
   bool repeat = false;
+  std::optional<EngineSet> eligible;  // it may go to these alone; nullopt: to any
 };
 enum class Outcome {
   served,
@@ -100,11 +107,15 @@
   FrontId from{};
   std::string payload;
 };
+struct EligibleNow {  // of a query that was told of; what is out goes on. To none: it is given up
+  QueryId query{};
+  std::optional<EngineSet> eligible;
+};
 struct Woken {
   std::uint64_t token = 0;
 };
 using Event = std::variant<EngineList, QueryArrived, AttemptEnded, AttemptNote, AnswerStarted, ClientLeft,
-                           ProbeEnded, PeerMessage, Woken>;
+                           ProbeEnded, PeerMessage, EligibleNow, Woken>;
 
 // ---------------------------------------------------------------- actions
 
--- a/src/duty/settings.h
+++ b/src/duty/settings.h
@@ -23,6 +23,10 @@
   Duration spread = std::chrono::seconds(75);    // over which all come back to a store that was away
   Duration ask = std::chrono::milliseconds(900);  // a call of the store takes no longer
 
+  // Areas that a duty may touch (the number that names a table group); none else is ever touched. They are
+  // closed where this process's session is not held.
+  std::vector<lynxstand::TableGroupId> areas;
+
   // For tests alone: guards that are left out, so that the checker is seen to find what they guard against.
   enum Guard : unsigned { kTerm = 1, kAcknowledged = 2, kExpiry = 4, kFree = 8 };
   unsigned without = 0;
--- a/src/manager/attempts.cpp
+++ b/src/manager/attempts.cpp
@@ -88,7 +88,8 @@
 }
 
 void Manager::on(const ListChanged& changed) {
-  tell(directory_.apply(now_, changed.event, false));
+  tell(take_list(changed.event, false));
+  tell_routes();
   tell_stations_of_engines();
   // Guards the rule on drains: a request still queued for an engine that is no longer up is taken back, not
   // written late.
@@ -148,7 +149,9 @@
   if (request.answered || request.attempt) return not_sent(Outcome::never_sent);
   const EngineRecord* engine = directory_.usable(send.engine.name);
   if (!engine) return not_sent(Outcome::unreachable);
-  if (now_ >= granted_until_) return not_sent(Outcome::never_sent);
+  // Guards the areas that a duty touches, where a table has come since the module chose.
+  const routes::Route route = route_of(request.told);
+  if (bars(route, send.engine.name)) return not_sent(Outcome::never_sent);
   const std::string& id = request.told.request_id;
   const auto link = links_.pick(now_, send.engine.name, *engine, request.used, now_ + config_.real.dial_time);
   if (!link) return not_sent(Outcome::unreachable);
@@ -170,9 +173,10 @@
   out.profile = config_.real.classes[static_cast<std::size_t>(request.told.cls)];
   out.deadline = until;
   out.band = band_of(send.query, request, send.engine.name);
-  out.granted_until = granted_until_;
-  if (granted_until_ != Time::max())
-    at(granted_until_, AttemptTimer{send.query, attempt.tag, Outcome::never_sent, now_});
+  if (route.touched) {
+    out.granted_until = routes_.until();
+    at(out.granted_until, AttemptTimer{send.query, attempt.tag, Outcome::never_sent, now_});
+  }
   out.statement = request.told.statement;
   engines_.send(*link, attempt.tag, std::move(out));
   request.attempt = std::move(attempt);
--- a/src/manager/directory.h
+++ b/src/manager/directory.h
@@ -35,6 +35,7 @@
   std::size_t known() const { return engines_.size(); }
   std::size_t listed() const;  // those that the list names: up or draining
 
+  bool knows(const std::string& uid) const { return engines_.count(uid) > 0; }
   // nullptr: nothing may be sent there, as it is not up or its address has gone to another.
   const EngineRecord* usable(const std::string& uid) const;
 
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -82,7 +82,8 @@
                     : "what another process learnt is not taken over: it makes no sense here");
   }
   bool first = true;
-  for (const auto& event : config.known) tell(directory_.apply(now, event, std::exchange(first, false)));
+  if (config.fleet.on) routes_.expect(config.fleet.areas);
+  for (const auto& event : config.known) tell(take_list(event, std::exchange(first, false)));
   if (config.door.on)
     door_.emplace(door_settings(config), config.settings.tenants.size(), config.settings.classes.size());
   if (config.queues.on) queues_.emplace(now, config.queues, config.settings.classes.size());
@@ -150,6 +151,7 @@
   }
   look_at_service();
   directory_.forget(now_);
+  routes_.keep([&](const std::string& uid) { return directory_.knows(uid); });
   note_stations();
   publish_engines();
   at(now_ + kSweepEvery, Sweep{});
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -20,6 +20,7 @@
 #include "manager/service.h"
 #include "manager/sessions.h"
 #include "queues/queues.h"
+#include "routes/routes.h"
 
 namespace yokestream::manager {
 
@@ -45,9 +46,13 @@
   // this one, each with its part of the load.
   lynxstand::Learnt learnt() const { return controller_.learnt(); }
   void serve_beside(std::size_t others);
-  // Attempts sent from now on leave before `until` or never (S4): whatever holds them back, and whoever
-  // stopped this process meanwhile. Time::max(): they need no grant.
-  void grant_until(Time until) { granted_until_ = until; }
+  // What the fleet's duties say of areas (routing.cpp). Attempts at an area that one may touch leave before
+  // `until` or never (S4): whatever holds them back, and whoever stopped this process meanwhile. Where a
+  // table comes, what waits goes by it at once; nothing is sent by the one before.
+  void route(Time now, const routes::Table& table, Time until);
+  // Whether nothing is out any more that the table of now would not let out (S6): only then may it be said to
+  // be acted on.
+  bool keeps_to_routes() const;
   void count_fronts(double fronts);  // 1 or more: this manager's part of the load is one over them
 
   std::size_t open_requests() const { return calls_.size(); }
@@ -77,7 +82,9 @@
   struct CloseIdle {};    // clients are sent away: those that are idle now
   struct StationLook {};  // somebody at a station may have to move
   struct EndAll {};       // told to leave: whatever is open gets its answer now
-  using Timer = std::variant<Wake, Deadline, Guard, AttemptTimer, Sweep, CloseIdle, StationLook, EndAll>;
+  struct RoutesEnd {};    // the grant is over, unless it was renewed
+  using Timer =
+      std::variant<Wake, Deadline, Guard, AttemptTimer, Sweep, CloseIdle, StationLook, EndAll, RoutesEnd>;
   using Timers = std::multimap<Time, Timer>;
 
   enum class Phase { out, stopping, fetching };
@@ -102,8 +109,9 @@
     std::optional<Attempt> attempt;
     Reservation held;
     Timers::iterator deadline, guard;
-    Time passed{};       // the door
-    door::Outcome past;  // what the door is to hear at the end
+    Time passed{};                                 // the door
+    std::optional<lynxstand::EngineSet> eligible;  // as the module was told last
+    door::Outcome past;                            // what the door is to hear at the end
   };
   using Requests = std::map<lynxstand::QueryId, Request>;
   using CallKey = std::pair<SessionId, CallId>;
@@ -186,6 +194,14 @@
   void end_attempt(lynxstand::QueryId query, Request& request, lynxstand::Outcome outcome);
   void forget_if_done(Requests::iterator it);
 
+  // routing.cpp
+  routes::Route route_of(const Arrived& told) const;
+  std::optional<lynxstand::EngineSet> eligible(const routes::Route& route) const;
+  lynxstand::EngineList take_list(const config::MembersEvent& event, bool remembered);
+  bool bars(const routes::Route& route, const std::string& uid) const;
+  void tell_routes();
+  void due(const RoutesEnd&);
+
   const config::Config& config_;
   Budget& budget_;
   ClientPort& clients_;
@@ -206,7 +222,7 @@
   Time next_station_note_{};
   std::uint64_t noted_turned_away_ = 0, noted_waited_ = 0;
   std::size_t beside_ = 0;  // processes of this manager
-  Time granted_until_ = Time::max();
+  routes::Routes routes_;
   double fronts_;                      // as told from outside, else by the settings
   std::deque<lynxstand::Event> told_;  // what the controller is yet to hear
   std::vector<lynxstand::Action> actions_;
--- a/src/manager/requests.cpp
+++ b/src/manager/requests.cpp
@@ -82,7 +82,10 @@
 // class.
 void Manager::introduce(QueryId query, Request& request, double cost) {
   const Arrived& told = request.told;
+  const routes::Route route = route_of(told);
+  if (route.closed) return refuse_waiting(requests_.find(query), kBusyWait);
   lynxstand::QueryArrived q;
+  q.eligible = request.eligible = eligible(route);
   q.query = query;
   q.cls = told.cls;
   q.tenant = told.tenant;
--- a/src/policy/choice.cpp
+++ b/src/policy/choice.cpp
@@ -92,7 +92,7 @@
 Choice AdmissionController::Impl::choose(const Query& q) {
   std::size_t up = 0, healthy = 0;
   for (const auto& [name, e] : engines) {
-    if (e.entry.state != EngineState::up || !permitted(cls(q), e.entry)) continue;
+    if (e.entry.state != EngineState::up || !permitted(q.told, cls(q), e.entry)) continue;
     ++up, healthy += !e.shunned;
   }
   // Danger: a fault of this front or of the path makes all engines look bad; shunning all serves nobody.
--- a/src/policy/impl.h
+++ b/src/policy/impl.h
@@ -166,6 +166,15 @@
   void on(const ClientLeft& left);
   void on(const PeerMessage& message);
   void on(const Woken& woken);
+  void on(const EligibleNow& told) {
+    const auto it = queries.find(told.query);
+    if (it == queries.end()) return;
+    Query& q = it->second;
+    q.told.eligible = told.eligible;
+    if (q.finished || q.out > 0 || !told.eligible || told.eligible->any()) return;
+    give_up(q, 1);  // nothing that is eligible: at once, never held
+    forget(told.query);
+  }
   void handle(Time at, const Event& event, std::vector<Action>& actions);
 };
 
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -14,7 +14,7 @@
   const auto& c = cls(q);
   if (q.finished || q.streaming || q.out > 0 || q.attempts.size() >= s.most_attempts) return false;
   if (now >= q.deadline || e.entry.state != EngineState::up) return false;  // drains: at once
-  if (!permitted(c, e.entry)) return false;
+  if (!permitted(q.told, c, e.entry)) return false;
   if (c.repeatable == Repeatable::never && q.may_have_run) return false;
   if (c.repeatable == Repeatable::keyed && q.may_run_since) {
     if (now - *q.may_run_since >= c.repeat_window - kTick) return false;
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -41,12 +41,13 @@
     return f == ReportField::inflight || f == ReportField::cpu || f == ReportField::disks;
   });
 }
-// Rule: the zones and kinds that a class is bound to, if any.
-inline bool permitted(const ClassSettings& c, const EngineEntry& e) {
+// Rule: the zones and kinds that a class is bound to, if any, and the engines that the query is.
+inline bool permitted(const QueryArrived& q, const ClassSettings& c, const EngineEntry& e) {
   const auto among = [](const auto& list, auto x) {
     return list.empty() || std::find(list.begin(), list.end(), x) != list.end();
   };
-  return among(c.only_zones, e.zone) && among(c.only_kinds, e.kind);
+  const bool eligible = !q.eligible || (e.slot < kMostSlots && (*q.eligible)[e.slot]);
+  return eligible && among(c.only_zones, e.zone) && among(c.only_kinds, e.kind);
 }
 inline TableGroupId short_tables(TableGroupId t) {
   return TableGroupId{static_cast<std::uint64_t>(t) & 0xffff};
--- a/tests/node/helper.h
+++ b/tests/node/helper.h
@@ -89,6 +89,7 @@
   std::map<std::pair<manager::SessionId, manager::CallId>, std::vector<Reply>> replies;
   std::set<manager::SessionId> busy;  // something has come from them that the core has not heard yet
   std::set<manager::LinkId> links;
+  std::map<manager::LinkId, std::string> where;
   std::map<manager::SendTag, Out> out;
   std::vector<std::string> said;  // in order: what went to engines
   std::vector<std::string> notes;
@@ -100,13 +101,15 @@
     while (core.next_due() <= until) now = std::max(now, core.next_due()), core.tick(now);
     now = until;
   }
-  void arrive(manager::CallId call, std::uint32_t cls = 0, Duration left = 4s, int session = 1) {
+  void arrive(manager::CallId call, std::uint32_t cls = 0, Duration left = 4s, int session = 1,
+              std::uint64_t area = 0) {
     char id[17];
     std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(call));
     manager::Arrived a;
     a.session = manager::SessionId(session), a.call = call, a.request_id = id,
     a.cls = lynxstand::ClassId{cls};
     a.work = Duration(10ms), a.deadline = now + left, a.statement = "select 1";
+    a.tables = lynxstand::TableGroupId{area};
     hear(std::move(a));
   }
   void answer(const Out& o, AnswerWord word, std::uint32_t pages = 1, std::uint32_t page = 0,
@@ -155,7 +158,7 @@
     return true;
   }
   void open(manager::LinkId link, const config::Endpoint& at, Time) override {
-    links.insert(link), said.push_back("open " + to_string(at));
+    links.insert(link), where[link] = to_string(at), said.push_back("open " + to_string(at));
   }
   void send(manager::LinkId link, manager::SendTag tag, EngineRequest r) override {
     out[tag] = {link, r.id, Sent::queued}, said.push_back("req " + r.id);
--- a/tests/node/manager_test.cpp
+++ b/tests/node/manager_test.cpp
@@ -192,37 +192,5 @@
   CHECK(core.left(now));
 }
 
-TEST_CASE_FIXTURE(Fixture,
-                  "an attempt whose grant ends before it has left is over as never sent, and may go again") {
-  core.grant_until(now + 1s);
-  arrive(1, 1);  // a load: it may not run twice
-  const auto first = only().id;
-  CHECK(out.size() == 1);
-  core.grant_until(Time::max());  // what is sent from here on needs none
-  pass(900ms);
-  CHECK(out.size() == 1);
-  CHECK(count("req " + first) == 1);
-  pass(200ms);  // still queued at 1 s: taken back, and as it never ran a load may go again
-  CHECK(count("req " + first) == 2);
-  answer(written(), AnswerWord::served);
-  REQUIRE(to(1).size() == 1);
-  CHECK(to(1)[0].kind == "served");
-}
-
-TEST_CASE_FIXTURE(
-    Fixture,
-    "an attempt that has left goes on past its grant, and nothing new begins under one that is over") {
-  core.grant_until(now + 300ms);
-  arrive(1, 1);
-  const Out first = written();
-  pass(400ms);
-  arrive(2, 1);
-  CHECK(count("req " + first.id) == 1);
-  CHECK(out.size() == 1);
-  answer(first, AnswerWord::served);
-  REQUIRE(to(1).size() == 1);
-  CHECK(to(1)[0].kind == "served");
-}
-
 }  // namespace
 }  // namespace yokestream::test
--- /dev/null
+++ b/tests/node/routing_test.cpp
@@ -0,0 +1,225 @@
+// Routes: which engines an area's requests may go to, how that changes under requests that wait or are out,
+// and what holds when the grant ends.
+#include <doctest/doctest.h>
+
+#include "helper.h"
+#include "routes/routes.h"
+
+namespace yokestream::test {
+namespace {
+
+using lynxstand::TableGroupId;
+using routes::Rule;
+
+constexpr std::uint64_t kArea = 17, kOther = 18;
+const char* const kOld = "127.0.0.1:7001";
+const char* const kNew = "127.0.0.1:7002";
+
+config::Config routed() {
+  auto config = config::decode_config(config_text());
+  config.fleet.on = true;
+  config.fleet.areas = {TableGroupId{kOther}, TableGroupId{kArea}};
+  return config;
+}
+
+routes::Table table(std::int64_t epoch, std::uint32_t moved, Rule::Loads loads) {
+  routes::Table out;
+  out.epoch = epoch;
+  out.origins = {{{}, {}, {"e1", "e4"}, {}}, {{}, {}, {"e2", "e3"}, {}}};
+  out.rules[TableGroupId{kArea}] = {0, 1, moved, loads};
+  return out;
+}
+
+struct Routed : Core {
+  Routed() : Core(routed()) {
+    list(member("e2", kNew));
+    pass(100ms);
+  }
+  static std::string member(const std::string& uid, const std::string& at) {
+    return R"({"uid":")" + uid + R"(","endpoint":")" + at + R"(","az":"z","model":"m","state":"up"})";
+  }
+  routes::Table now_there = table(0, 0, Rule::Loads::from);
+  void route(std::int64_t epoch, std::uint32_t moved, Rule::Loads loads, Duration granted = 60s) {
+    now_there = table(epoch, moved, loads);
+    grant(granted);
+  }
+  void grant(Duration granted) { core.route(now, now_there, now + granted); }
+  void look(manager::CallId call) { arrive(call, 0, 4s, 1, kArea); }
+  void load(manager::CallId call) { arrive(call, 1, 4s, 1, kArea); }
+  std::string place() { return where[only().link]; }  // of the attempt sent last
+  long count(const std::string& words) const { return std::count(said.begin(), said.end(), words); }
+  std::string told(manager::CallId call) { return to(call).empty() ? "nothing" : to(call)[0].kind; }
+};
+
+TEST_CASE_FIXTURE(Routed, "an area that a duty may touch is closed until a table has come; others are not") {
+  look(1);
+  load(2);
+  CHECK(told(1) == "refused");
+  CHECK(told(2) == "refused");
+  CHECK(out.empty());
+  arrive(3);
+  CHECK(out.size() == 1);
+  route(0, 0, Rule::Loads::from);
+  look(4);
+  CHECK(place() == kOld);
+  arrive(5, 0, 4s, 1, kOther);  // granted, and no rule of it: any engine
+  CHECK(out.size() == 3);
+}
+
+TEST_CASE_FIXTURE(Routed,
+                  "a share of what may be repeated moves, by the request; loads stay where they are") {
+  route(0, Rule::kAll / 4, Rule::Loads::from);
+  int moved = 0;
+  for (manager::CallId call = 1; call <= 400; ++call) {
+    look(call);
+    moved += place() == kNew;
+    answer(written(), AnswerWord::served);
+    load(1000 + call);
+    CHECK(place() == kOld);
+    answer(written(), AnswerWord::served);
+  }
+  CHECK(moved > 70);
+  CHECK(moved < 130);
+}
+
+TEST_CASE_FIXTURE(Routed, "a request stays on its side through its attempts, and moves with its rule") {
+  route(0, 0, Rule::Loads::from);
+  look(1);
+  CHECK(place() == kOld);
+  list(member("e4", "127.0.0.1:7004"));  // on the old side, too
+  hear(manager::LinkEnded{only().link, "refused"});
+  pass(100ms);
+  REQUIRE(out.size() == 1);
+  CHECK(place() == "127.0.0.1:7004");
+  route(1, Rule::kAll, Rule::Loads::from);  // queued still: it is taken back and goes to the other side
+  CHECK(place() == kNew);
+  CHECK(core.keeps_to_routes());
+  answer(written(), AnswerWord::served);
+  CHECK(told(1) == "served");
+}
+
+TEST_CASE_FIXTURE(Routed,
+                  "loads: closed at once, kept to once the last one has ended, then on the other side") {
+  route(0, Rule::kAll, Rule::Loads::from);
+  load(1);
+  const Out first = written();
+  route(1, Rule::kAll, Rule::Loads::nowhere);
+  CHECK_FALSE(core.keeps_to_routes());  // it is out on the old side
+  load(2);
+  CHECK(told(2) == "refused");
+  look(3);
+  CHECK(place() == kNew);
+  answer(first, AnswerWord::served);
+  CHECK(told(1) == "served");
+  CHECK(core.keeps_to_routes());
+  route(2, Rule::kAll, Rule::Loads::to);
+  load(4);
+  CHECK(place() == kNew);
+}
+
+TEST_CASE_FIXTURE(Routed,
+                  "a load whose answer was lost as its area closed is not run again on the other side") {
+  route(0, 0, Rule::Loads::from);
+  load(1);
+  const Out first = written();
+  route(1, 0, Rule::Loads::nowhere);
+  hear(manager::LinkEnded{first.link, "reset"});
+  CHECK(told(1) == "failed");  // it may have run
+  CHECK(core.keeps_to_routes());
+  route(2, 0, Rule::Loads::to);
+  CHECK(count("req " + first.id) == 1);
+}
+
+TEST_CASE_FIXTURE(Routed, "what waits in the module is refused at once when its area closes") {
+  route(0, 0, Rule::Loads::from, 500ms);
+  load(1);
+  const Out first = written();
+  list(R"({"uid":"e1","endpoint":"127.0.0.1:7001","az":"z","model":"m","state":"draining"})");
+  load(2);
+  look(3);
+  pass(400ms);
+  CHECK(told(2) == "nothing");  // its origin drains: they wait
+  CHECK(told(3) == "nothing");
+  pass(101ms);  // the grant ends, and nobody renews it
+  CHECK(told(2) == "refused");
+  CHECK(told(3) == "refused");
+  CHECK(told(1) == "nothing");  // what is out goes on
+  CHECK_FALSE(core.keeps_to_routes());
+  answer(first, AnswerWord::served);
+  CHECK(told(1) == "served");
+  CHECK(core.keeps_to_routes());
+}
+
+TEST_CASE_FIXTURE(Routed,
+                  "engines that come later are in their origins, and one that goes leaves the others be") {
+  route(0, 0, Rule::Loads::to);
+  list(member("e9", "127.0.0.1:7009"));
+  list(R"({"uid":"e2","state":"removed"})");
+  list(member("e3", "127.0.0.1:7003"));
+  load(1);
+  CHECK(place() == "127.0.0.1:7003");
+  answer(written(), AnswerWord::served);
+  pass(70s);  // e2 is forgotten, and its slot goes to another
+  list(member("e8", "127.0.0.1:7008"));
+  grant(60s);
+  for (manager::CallId call = 2; call < 10; ++call) {
+    load(call);
+    CHECK(place() == "127.0.0.1:7003");
+    answer(written(), AnswerWord::served);
+  }
+}
+
+TEST_CASE("more engines than there are slots: those beyond are in no origin, and are open to other areas") {
+  routes::Routes all;
+  all.expect({TableGroupId{kArea}});
+  routes::Table any = table(0, 0, Rule::Loads::from);
+  any.origins[0] = {};  // takes all
+  all.swap(any);
+  all.extend(Time::max());
+  config::Member member;
+  for (std::size_t i = 0; i <= lynxstand::kMostSlots; ++i)
+    member.uid = "e" + std::to_string(i), all.list(member);
+  const auto route = all.find(Time{}, TableGroupId{kArea}, true, "x");
+  CHECK(route.among->count() == lynxstand::kMostSlots);
+  CHECK(all.slot(member.uid) == lynxstand::kMostSlots);
+  CHECK_FALSE(all.find(Time{}, TableGroupId{kOther}, true, "x").among);
+  all.keep([](const std::string& uid) { return uid != "e7"; });
+  CHECK_FALSE((*all.find(Time{}, TableGroupId{kArea}, true, "x").among)[7]);
+  member.uid = "new";
+  CHECK(all.list(member) == 7);
+}
+
+TEST_CASE_FIXTURE(Routed,
+                  "an attempt whose grant ends before it has left is over as never sent, and may go again") {
+  grant(1s);
+  load(1);  // a load: it may not run twice
+  const auto first = only().id;
+  CHECK(out.size() == 1);
+  grant(10s);  // renewed: what is sent from here on leaves before that
+  pass(900ms);
+  CHECK(out.size() == 1);
+  CHECK(count("req " + first) == 1);
+  pass(200ms);  // still queued at 1 s: taken back, and as it never ran a load may go again
+  CHECK(count("req " + first) == 2);
+  answer(written(), AnswerWord::served);
+  REQUIRE(to(1).size() == 1);
+  CHECK(to(1)[0].kind == "served");
+}
+
+TEST_CASE_FIXTURE(
+    Routed,
+    "an attempt that has left goes on past its grant, and nothing new begins under one that is over") {
+  grant(300ms);
+  load(1);
+  const Out first = written();
+  pass(400ms);
+  load(2);
+  CHECK(count("req " + first.id) == 1);
+  CHECK(out.size() == 1);
+  answer(first, AnswerWord::served);
+  REQUIRE(to(1).size() == 1);
+  CHECK(to(1)[0].kind == "served");
+}
+
+}  // namespace
+}  // namespace yokestream::test
