Migration plans and their steps, as a duty of the fleet's owner, on the virtual clock

base::read_json serves the duty's records too; the store's own two readers still stand. Not yet: the thread that tells the core, the commands, several processes.

--- a/src/duty/fleet.cpp
+++ b/src/duty/fleet.cpp
@@ -12,7 +12,7 @@
 }  // namespace
 
 Fleet::Fleet(const Settings& settings, const std::string& name, const std::string& version, std::size_t told,
-             Time start)
+             Time start, std::vector<Duty*> duties)
     : settings_(settings),
       names_(settings_.prefix),
       shares_(told, settings_.without),
@@ -20,7 +20,9 @@
       session_(settings_),
       election_(settings_, names_.line(kDuty), names_.beat(kDuty)),
       view_(names_.states()),
-      fact_{name, version, 0, {}} {}
+      fact_{name, version, 0, {}, {}} {
+  for (Duty* duty : duties) duties_.push_back({duty, 0, {}});
+}
 
 // ---- asking
 
@@ -39,13 +41,14 @@
       if (!serving || told_ == fact_) return Time::max();
       const double was = told_ ? told_->traffic : 0;
       if (!told_ || told_->seen != fact_.seen) return again_;
+      if (told_->tallies != fact_.tallies) return std::max(again_, told_at_ + kTellEvery);
       if (std::abs(fact_.traffic - was) < kTellFrom * std::max(was, 1e-9)) return Time::max();
       return std::max(again_, told_at_ + kTellEvery);
     }
     case Asker::election:
       return serving || leaving_ ? std::max(again_, election_.due()) : Time::max();
     case Asker::publish:
-      return serving && election_.owner() && (draft_ || beat_) && view_.known() ? again_ : Time::max();
+      return serving && election_.owner() && (drafted() || beat_) && view_.known() ? again_ : Time::max();
     case Asker::look:
       return serving && election_.owner() && view_.known() ? std::max(again_, look_at_) : Time::max();
     case Asker::revoke:
@@ -105,6 +108,15 @@
       const std::int64_t epoch = draft_ ? draft_->epoch : table_ ? table_->epoch : 0;
       store::Txn txn{{}, {Put{names_.beat(kDuty), std::to_string(epoch), {}}}, {}};
       if (!(settings_.without & Settings::kTerm)) txn.when.push_back(election_.guard());
+      for (const Held& held : duties_) {
+        if (!held.draft) continue;
+        const std::string key = names_.state(held.duty->name());
+        if (!(settings_.without & Settings::kTerm))
+          txn.when.push_back({Compare::What::mod, key, held.mod, {}});
+        txn.then.push_back(Put{key, held.draft->state, store::LeaseId::none});
+        for (const auto& asked : held.draft->answered)
+          txn.then.push_back(store::Delete{names_.asks() + asked, {}});
+      }
       if (!draft_) return txn;
       if (!(settings_.without & Settings::kTerm))
         txn.when.push_back({Compare::What::mod, names_.state(kDuty), state_mod_, {}});
@@ -112,7 +124,10 @@
       return txn;
     }
     case Asker::look:
-      return store::Range{names_.alive(), store::after_prefix(names_.alive()), 0};
+      return store::Txn{{},
+                        {store::Range{names_.alive(), store::after_prefix(names_.alive()), 0},
+                         store::Range{names_.asks(), store::after_prefix(names_.asks()), 0}},
+                        {}};
     case Asker::revoke:
     case Asker::nobody:
       break;
@@ -143,6 +158,19 @@
   if (epoch >= 0 && epoch == epoch_) fact_.seen[kDuty] = epoch;
 }
 
+void Fleet::applied(const Duty& duty, std::int64_t epoch) {
+  if (epoch >= 0 && of_ != store::LeaseId::none) fact_.seen[duty.name()] = epoch;
+}
+
+bool Fleet::drafted() const {
+  return draft_ || std::any_of(duties_.begin(), duties_.end(), [](const Held& h) { return h.draft; });
+}
+
+void Fleet::drop_drafts() {
+  draft_.reset();
+  for (Held& held : duties_) held.draft.reset();
+}
+
 void Fleet::leave() {
   leaving_ = true;
   election_.step_down();
--- a/src/duty/fleet.h
+++ b/src/duty/fleet.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "duty/duty.h"
 #include "duty/election.h"
 #include "duty/names.h"
 #include "duty/session.h"
@@ -24,8 +25,9 @@
   enum Slot : std::size_t { states, ahead, kSlots };  // the watches that it wants open
 
   // `told`: managers that the platform tells of.
+  // `duties`: what else the owner does, beside the shares; they outlive this.
   Fleet(const Settings& settings, const std::string& name, const std::string& version, std::size_t told,
-        Time start);
+        Time start, std::vector<Duty*> duties = {});
   Fleet(const Fleet&) = delete;  // its parts hold its settings
 
   // ---- the store. One request is out at a time: next(), asked(), replied().
@@ -49,7 +51,12 @@
   Allowed allowed() const;
   // This process acts on the table of this epoch (S3): it says so only from now on.
   void applied(std::int64_t epoch);
-  void leave();  // gives up its place, then its lease
+  void applied(const Duty& duty, std::int64_t epoch);
+  void tallies(std::map<std::string, std::vector<std::int64_t>> by_plan) {
+    fact_.tallies = std::move(by_plan);
+  }
+  Time until() const { return session_.until(); }  // what this session was granted holds before this
+  void leave();                                    // gives up its place, then its lease
   bool left() const { return leaving_ && lease_over_; }
   bool owner() const { return trouble_.empty() && election_.owner(); }
   store::Revision term() const { return election_.term(); }
@@ -66,8 +73,12 @@
   void take(Time now, const store::Done& done);
   void missed(Time now, bool unknown);
   void looked(Time now, const store::Done& done);
+  void draft_shares(const std::map<std::string, Fact>& living);
   void told(Time now, const store::Done& done);
   void see_state();
+  void see_duties();
+  bool drafted() const;
+  void drop_drafts();
   void begin_again();
 
   const Settings settings_;
@@ -78,13 +89,20 @@
   Election election_;
   View view_;
   Fact fact_;
+  struct Held {  // one of the duties
+    Duty* duty;
+    store::Revision mod = 0;  // of its state as last seen; 0: there is none
+    std::optional<Duty::Draft> draft;
+  };
+  std::vector<Held> duties_;
   std::optional<Fact> told_;      // as it stands in the store
   store::Revision told_mod_ = 0;  // and its revision there; 0: it is not there
   Asker out_ = Asker::nobody;
-  std::optional<Table> table_;     // the duty's state as last seen
-  store::Revision state_mod_ = 0;  // its revision; 0: there is none
-  std::optional<Table> draft_;     // what the owner is to write: the table that follows
-  bool beat_ = false;              // or a sign that it goes on
+  std::optional<Table> table_;      // the duty's state as last seen
+  store::Revision state_mod_ = 0;   // its revision; 0: there is none
+  std::optional<Table> draft_;      // what the owner is to write: the table that follows
+  bool beat_ = false;               // or a sign that it goes on
+  store::Revision drafted_in_ = 0;  // the term that the drafts are of
   bool known_format_ = false, leaving_ = false, lease_over_ = false;
   Part granted_ = 0, base_ = 0;  // by the table; without one, as an earlier one left it. 0: none yet
   std::int64_t epoch_ = -1;
--- a/src/duty/fleet_replies.cpp
+++ b/src/duty/fleet_replies.cpp
@@ -26,7 +26,8 @@
   } else if (out_ == Asker::election) {
     election_.replied(now, reply);
     if (election_.owner()) look_at_ = std::min(look_at_, now);
-    if (draft_ && draft_->term != election_.term()) draft_.reset();  // it was this owner's in another term
+    if (election_.term() != drafted_in_) drop_drafts();  // they were this owner's in another term
+    drafted_in_ = election_.term();
   } else if (done) {
     take(now, *done);
   } else {
@@ -50,7 +51,7 @@
   } else if (out_ == Asker::tell) {
     told(now, done);
   } else if (out_ == Asker::publish) {
-    draft_.reset(), beat_ = false;
+    drop_drafts(), beat_ = false;
     view_.lost();  // what stands there now is read, not presumed
     if (refused) election_.lost();
   } else if (out_ == Asker::look) {
@@ -65,7 +66,7 @@
 void Fleet::missed(Time now, bool unknown) {
   again_ = now + kAgain;
   if (out_ == Asker::tell) told_.reset();
-  if (out_ == Asker::publish && unknown) draft_.reset(), view_.lost();
+  if (out_ == Asker::publish && unknown) drop_drafts(), view_.lost();
   if (out_ == Asker::revoke) lease_over_ = true;  // it ends by itself
 }
 
@@ -82,28 +83,54 @@
 }
 
 void Fleet::looked(Time now, const store::Done& done) {
-  std::map<std::string, Fact> living;
   if (done.ranges.empty()) return;
+  Looked looked{now, {}, {}, election_.term()};
   for (const auto& kv : done.ranges.front().all) {
     const auto fact = decode_fact(kv.value);  // one that makes no sense acknowledges nothing
     if (kv.key.size() > names_.alive().size())
-      living[kv.key.substr(names_.alive().size())] = fact.value_or(Fact{});
+      looked.living[kv.key.substr(names_.alive().size())] = fact.value_or(Fact{});
   }
+  if (done.ranges.size() > 1)
+    for (const auto& kv : done.ranges[1].all)
+      if (kv.key.size() > names_.asks().size()) looked.asked[kv.key.substr(names_.asks().size())] = kv.value;
   beat_ = true;
   look_at_ = now + settings_.look;
-  const Table now_there = table_.value_or(Table{});
-  if (!(settings_.without & Settings::kAcknowledged) && !Shares::acknowledged(now_there, living, kDuty)) {
-    look_at_ = now + std::min(kLookAgain, settings_.look);
-    return;
+  draft_shares(looked.living);
+  bool busy = !draft_ && !Shares::acknowledged(table_.value_or(Table{}), looked.living, kDuty);
+  for (Held& held : duties_) {
+    held.draft = held.duty->next(looked);
+    busy |= held.duty->busy();
   }
-  draft_ = shares_.next(now_there, living);
+  if (busy) look_at_ = now + std::min(kLookAgain, settings_.look);
+}
+
+void Fleet::draft_shares(const std::map<std::string, Fact>& living) {
+  const Table there = table_.value_or(Table{});
+  if (!(settings_.without & Settings::kAcknowledged) && !Shares::acknowledged(there, living, kDuty)) return;
+  draft_ = shares_.next(there, living);
   if (draft_) draft_->term = election_.term();
 }
 
+// The duties' states, as the view has them.
+void Fleet::see_duties() {
+  const std::string session = of_ == store::LeaseId::none ? "" : session_name(of_);
+  for (Held& held : duties_) {
+    const std::string key = names_.state(held.duty->name());
+    const auto* state = view_.find(key);
+    const store::Revision mod = state ? state->mod : 0;
+    if (mod != held.mod) held.draft.reset();  // it was made from another one
+    held.mod = mod;
+    if (!held.duty->see(state ? state->value : "", session))
+      trouble_ = "the store's record " + key + " can't be read";
+  }
+}
+
 // The state of the duty, as the view has it. One that can't be read stays as it is: nothing is overwritten.
 void Fleet::see_state() {
   const auto* state = view_.find(names_.state(kDuty));
   state_mod_ = state ? state->mod : 0;
+  see_duties();
+  if (!trouble_.empty()) return begin_again();
   if (!state) return table_.reset();
   auto table = decode_table(state->value);
   if (!table) {
@@ -124,8 +151,10 @@
   of_ = session_.lease();
   if (granted_ > 0) base_ = std::min(granted_, shares_.even());
   granted_ = 0, epoch_ = -1;
+  for (const Held& held : duties_) held.duty->see("", "");
+  if (view_.known() && trouble_.empty()) see_duties();
   fact_.seen.clear(), told_.reset(), told_mod_ = 0;
-  draft_.reset(), beat_ = false;
+  drop_drafts(), beat_ = false;
   if (of_ != store::LeaseId::none) election_.stand(of_, fact_.name);
 }
 
--- a/src/duty/names.h
+++ b/src/duty/names.h
@@ -5,6 +5,7 @@
 //   duty/D/line/SESSION    a candidate, under its lease; the oldest owns D (election.h)
 //   duty/D/beat            the owner's last sign of progress
 //   state/D                what the duty has decided, with the term that wrote it; watched by all
+//   ask/WHAT               what staff ask the owner for (yokestream fleet); gone when it is answered
 //
 // Bounded: one fact a session of at most kMostFact bytes, one state a duty. Pure; any thread.
 #pragma once
@@ -13,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "duty/settings.h"
 #include "store/values.h"
@@ -20,7 +22,7 @@
 namespace yokestream::duty {
 
 inline constexpr std::string_view kFormat = "1";
-inline constexpr std::size_t kMostFact = 1024;
+inline constexpr std::size_t kMostFact = 4096;
 inline constexpr std::size_t kMostProcesses = 1024;  // of one fleet
 
 // A session as keys and records name it: 16 hex digits.
@@ -35,6 +37,7 @@
   std::string beat(const std::string& duty) const { return root + "duty/" + duty + "/beat"; }
   std::string states() const { return root + "state/"; }
   std::string state(const std::string& duty) const { return states() + duty; }
+  std::string asks() const { return root + "ask/"; }
   std::string root;
 };
 
@@ -42,6 +45,8 @@
   std::string name, version;                 // the manager's, the program's
   double traffic = 0;                        // requests a second, smoothed
   std::map<std::string, std::int64_t> seen;  // by duty: the epoch that it acts on (S3)
+  // Outcomes on the two sides of what moves, by plan, counted since the session began (migration/tally.h).
+  std::map<std::string, std::vector<std::int64_t>> tallies;
   bool operator==(const Fact&) const = default;
 };
 std::string encode(const Fact& fact);
--- a/src/duty/records.cpp
+++ b/src/duty/records.cpp
@@ -1,37 +1,21 @@
 // Facts and tables as the JSON that stands in the store.
-#include <json/json.h>
-
 #include <cmath>
 #include <cstdio>
-#include <memory>
 
+#include "base/json.h"
 #include "duty/shares.h"
 
 namespace yokestream::duty {
 namespace {
 
 constexpr std::size_t kMostName = 256;
-
-std::string write(const Json::Value& value) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, value);
-}
+constexpr std::size_t kMostTallies = 16, kMostTallied = 16;
 
 // nullopt: no JSON object of our form.
-std::optional<Json::Value> parse(std::string_view text, std::size_t most) try {
-  if (text.size() > most) return std::nullopt;
-  Json::CharReaderBuilder builder;
-  builder["collectComments"] = false;
-  builder["stackLimit"] = 16;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  std::string problems;
-  if (!reader->parse(text.data(), text.data() + text.size(), &value, &problems)) return std::nullopt;
-  if (!value.isObject() || value["form"] != 1) return std::nullopt;
+std::optional<Json::Value> parse(std::string_view text, std::size_t most) {
+  auto value = base::read_json(text, most);
+  if (!value || !value->isObject() || (*value)["form"] != 1) return std::nullopt;
   return value;
-} catch (const Json::Exception&) {  // too deep
-  return std::nullopt;
 }
 
 bool is_name(const Json::Value& v) { return v.isString() && v.asString().size() <= kMostName; }
@@ -46,6 +30,19 @@
   }
   return out;
 }
+std::optional<std::map<std::string, std::vector<std::int64_t>>> tallies_of(const Json::Value& v) {
+  std::map<std::string, std::vector<std::int64_t>> out;
+  if (v.isNull()) return out;
+  if (!v.isObject() || v.size() > kMostTallies) return std::nullopt;
+  for (const auto& name : v.getMemberNames()) {
+    if (!v[name].isArray() || v[name].size() > kMostTallied) return std::nullopt;
+    for (const auto& n : v[name]) {
+      if (!n.isInt64() || n.asInt64() < 0) return std::nullopt;
+      out[name].push_back(n.asInt64());
+    }
+  }
+  return out;
+}
 Json::Value to_json(const std::map<std::string, std::int64_t>& numbers) {
   Json::Value out(Json::objectValue);
   for (const auto& [name, n] : numbers) out[name] = Json::Int64(n);
@@ -67,7 +64,9 @@
   out["version"] = fact.version.substr(0, kMostName);
   out["traffic"] = fact.traffic;
   out["seen"] = to_json(fact.seen);
-  return write(out);
+  for (const auto& [plan, tally] : fact.tallies)
+    for (const auto n : tally) out["tallies"][plan].append(Json::Int64(n));
+  return base::write_json(out);
 }
 
 std::optional<Fact> decode_fact(std::string_view text) {
@@ -78,7 +77,9 @@
   const auto seen = numbers((*v)["seen"], kMostDuties);
   const double traffic = (*v)["traffic"].asDouble();
   if (!seen || !std::isfinite(traffic) || traffic < 0) return std::nullopt;
-  return Fact{(*v)["name"].asString(), (*v)["version"].asString(), traffic, *seen};
+  const auto tallies = tallies_of((*v)["tallies"]);
+  if (!tallies) return std::nullopt;
+  return Fact{(*v)["name"].asString(), (*v)["version"].asString(), traffic, *seen, *tallies};
 }
 
 std::string encode(const Table& table) {
@@ -87,7 +88,7 @@
   out["epoch"] = Json::Int64(table.epoch);
   out["term"] = Json::Int64(table.term);
   out["parts"] = to_json(table.parts);
-  return write(out);
+  return base::write_json(out);
 }
 
 std::optional<Table> decode_table(std::string_view text) {
--- /dev/null
+++ b/src/migration/admit.cpp
@@ -0,0 +1,36 @@
+// Whether a plan that staff propose can begin now: it is written down, or turned down with the reason.
+#include <algorithm>
+
+#include "base/json.h"
+#include "migration/mover.h"
+
+namespace yokestream::migration {
+
+std::string admit(Record& record, const std::string& name, const std::string& text) {
+  const auto told = base::read_json(text, store::kMostValue);
+  if (!told) return "it can't be read";
+  std::vector<std::string> problems;
+  const auto plan = read_plan(*told, problems);
+  if (!plan) return problems.front();
+  if (plan->name != name) return "it is of another name";
+  if (record.plans.size() >= kMostPlans) return std::to_string(kMostPlans) + " plans are under way";
+  for (const Running& other : record.plans) {
+    if (other.plan.name == name) return "a plan of this name is under way";
+    for (const Move& theirs : other.plan.moves)
+      for (const Move& ours : plan->moves)
+        if (theirs.area == ours.area)
+          return "area " + std::to_string(static_cast<std::uint64_t>(ours.area)) + " is in plan " +
+                 other.plan.name;
+  }
+  for (const Move& move : plan->moves) {
+    const auto home = record.homes.find(move.area);
+    if (home != record.homes.end() && !(home->second.origin == plan->origins.at(move.from)))
+      return "area " + std::to_string(static_cast<std::uint64_t>(move.area)) + " is at home at " +
+             home->second.name;
+  }
+  record.ended.erase(name);
+  record.plans.push_back({*plan, std::vector<std::size_t>(plan->moves.size(), 0), false, false, ""});
+  return "";
+}
+
+}  // namespace yokestream::migration
--- /dev/null
+++ b/src/migration/read_plan.cpp
@@ -0,0 +1,202 @@
+// Plans as JSON, both ways.
+#include <algorithm>
+#include <chrono>
+
+#include "migration/plan.h"
+
+namespace yokestream::migration {
+namespace {
+
+using Problems = std::vector<std::string>;
+
+// One object, key by key; what is left over at its end is unknown.
+class Fields {
+ public:
+  Fields(const Json::Value& value, std::string path, Problems& problems)
+      : value_(value), path_(std::move(path)), problems_(problems) {
+    if (!value.isObject()) fail("", "not an object");
+  }
+  const Json::Value& at(const std::string& key) {
+    asked_.push_back(key);
+    return value_.isObject() ? value_[key] : Json::Value::nullSingleton();
+  }
+  std::string path(const std::string& key) const {
+    return path_.empty() ? key : key.empty() ? path_ : path_ + "." + key;
+  }
+  void fail(const std::string& key, const std::string& why) { problems_.push_back(path(key) + ": " + why); }
+  std::string name(const std::string& key) {
+    const Json::Value& v = at(key);
+    const std::string text = v.isString() ? v.asString() : "";
+    if (text.empty() || text.size() > kMostName ||
+        text.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_") !=
+            std::string::npos)
+      fail(key, "not a name of 1 to 32 letters, digits, '-' and '_'");
+    return text;
+  }
+  double number(const std::string& key, double when_absent, double least, double most) {
+    const Json::Value& v = at(key);
+    if (v.isNull()) return when_absent;
+    if (!v.isNumeric() || !(v.asDouble() >= least && v.asDouble() <= most)) {
+      fail(key, "not a number in its bounds");
+      return when_absent;
+    }
+    return v.asDouble();
+  }
+  const Json::Value& list(const std::string& key, std::size_t most) {
+    const Json::Value& v = at(key);
+    if (v.isNull() || (v.isArray() && v.size() <= most)) return v;
+    fail(key, "not a list of at most " + std::to_string(most));
+    return Json::Value::nullSingleton();
+  }
+  void done() {
+    if (!value_.isObject()) return;
+    for (const auto& key : value_.getMemberNames())
+      if (std::find(asked_.begin(), asked_.end(), key) == asked_.end()) fail(key, "unknown key");
+  }
+
+ private:
+  const Json::Value& value_;
+  const std::string path_;
+  Problems& problems_;
+  std::vector<std::string> asked_;
+};
+
+std::optional<std::uint64_t> whole(const Json::Value& v, const std::string& path, Problems& problems) {
+  if (v.isUInt64()) return v.asUInt64();
+  problems.push_back(path + ": not a whole number");
+  return std::nullopt;
+}
+
+std::vector<std::string> words(Fields& fields, const std::string& key, Problems& problems) {
+  std::vector<std::string> out;
+  const Json::Value& list = fields.list(key, 1024);
+  for (Json::ArrayIndex i = 0; i < list.size(); ++i) {
+    if (list[i].isString() && !list[i].asString().empty())
+      out.push_back(list[i].asString());
+    else
+      problems.push_back(item(fields.path(key), i) + ": not a name");
+  }
+  return out;
+}
+
+Move read_move(const Json::Value& told, const std::string& path, Problems& problems) {
+  Fields fields(told, path, problems);
+  Move move;
+  if (const auto area = whole(fields.at("area"), path + ".area", problems)) move.area = TableGroupId{*area};
+  move.from = fields.name("from");
+  move.to = fields.name("to");
+  const Json::Value& after = fields.list("after", kMostAfter);
+  for (Json::ArrayIndex i = 0; i < after.size(); ++i)
+    if (const auto area = whole(after[i], item(path + ".after", i), problems))
+      move.after.push_back(TableGroupId{*area});
+  fields.done();
+  return move;
+}
+
+Stage read_stage(const Json::Value& told, const std::string& path, Problems& problems) {
+  Fields fields(told, path, problems);
+  Stage stage;
+  stage.edges = fields.number("edges", 1, 1e-4, 1);
+  stage.traffic = fields.number("traffic", 1, 1e-4, 1);
+  stage.hold = std::chrono::milliseconds(static_cast<std::int64_t>(fields.number("hold_ms", 10'000, 0, 6e8)));
+  fields.done();
+  return stage;
+}
+
+Gate read_gate(const Json::Value& told, const std::string& path, Problems& problems) {
+  Fields fields(told, path, problems);
+  Gate gate;
+  gate.served = fields.number("served", gate.served, 0, 1);
+  gate.slower = fields.number("slower", gate.slower, 1, 1000);
+  gate.outcomes = static_cast<std::int64_t>(fields.number("outcomes", 50, 1, 1e9));
+  fields.done();
+  return gate;
+}
+
+Json::Value to_json(const std::vector<std::string>& all) {
+  Json::Value out(Json::arrayValue);
+  for (const auto& word : all) out.append(word);
+  return out;
+}
+
+}  // namespace
+
+routes::Origin read_origin(const Json::Value& told, const std::string& path, Problems& problems) {
+  Fields fields(told, path, problems);
+  routes::Origin origin;
+  origin.zones = words(fields, "zones", problems);
+  origin.kinds = words(fields, "kinds", problems);
+  origin.uids = words(fields, "uids", problems);
+  const Json::Value& cells = fields.list("groups", 1024);
+  for (Json::ArrayIndex i = 0; i < cells.size(); ++i)
+    if (const auto cell = whole(cells[i], item(path + ".groups", i), problems)) origin.cells.push_back(*cell);
+  fields.done();
+  return origin;
+}
+
+Json::Value to_json(const routes::Origin& origin) {
+  Json::Value out(Json::objectValue);
+  if (!origin.zones.empty()) out["zones"] = to_json(origin.zones);
+  if (!origin.kinds.empty()) out["kinds"] = to_json(origin.kinds);
+  if (!origin.uids.empty()) out["uids"] = to_json(origin.uids);
+  for (const auto cell : origin.cells) out["groups"].append(Json::UInt64(cell));
+  return out;
+}
+
+std::optional<Plan> read_plan(const Json::Value& told, Problems& problems) {
+  const std::size_t before = problems.size();
+  Fields fields(told, "", problems);
+  Plan plan;
+  plan.name = fields.name("name");
+  const Json::Value& origins = fields.at("origins");
+  if (!origins.isObject() || origins.size() > kMostOrigins) {
+    fields.fail("origins", "not an object of at most " + std::to_string(kMostOrigins));
+  } else {
+    for (const auto& name : origins.getMemberNames())
+      plan.origins[name] = read_origin(origins[name], "origins." + name, problems);
+  }
+  const Json::Value& moves = fields.list("moves", kMostMoves);
+  for (Json::ArrayIndex i = 0; i < moves.size(); ++i)
+    plan.moves.push_back(read_move(moves[i], item("moves", i), problems));
+  const Json::Value& stages = fields.list("stages", kMostStages);
+  for (Json::ArrayIndex i = 0; i < stages.size(); ++i)
+    plan.stages.push_back(read_stage(stages[i], item("stages", i), problems));
+  const Json::Value& gate = fields.at("gate");
+  if (!gate.isNull()) plan.gate = read_gate(gate, "gate", problems);
+  const Json::Value& on_fail = fields.at("on_fail");
+  if (on_fail == "back")
+    plan.on_fail = OnFail::back;
+  else if (!on_fail.isNull() && on_fail != "hold")
+    fields.fail("on_fail", "neither hold nor back");
+  fields.done();
+  if (problems.size() == before) check_plan(plan, problems);
+  return problems.size() == before ? std::optional(plan) : std::nullopt;
+}
+
+Json::Value to_json(const Plan& plan) {
+  Json::Value out(Json::objectValue);
+  out["name"] = plan.name;
+  out["origins"] = Json::objectValue;
+  for (const auto& [name, origin] : plan.origins) out["origins"][name] = to_json(origin);
+  for (const Move& move : plan.moves) {
+    Json::Value m;
+    m["area"] = Json::UInt64(move.area);
+    m["from"] = move.from, m["to"] = move.to;
+    for (const auto area : move.after) m["after"].append(Json::UInt64(area));
+    out["moves"].append(m);
+  }
+  for (const Stage& stage : plan.stages) {
+    Json::Value s;
+    s["edges"] = stage.edges, s["traffic"] = stage.traffic;
+    s["hold_ms"] = Json::Int64(std::chrono::duration_cast<std::chrono::milliseconds>(stage.hold).count());
+    out["stages"].append(s);
+  }
+  if (plan.gate) {
+    out["gate"]["served"] = plan.gate->served, out["gate"]["slower"] = plan.gate->slower;
+    out["gate"]["outcomes"] = Json::Int64(plan.gate->outcomes);
+  }
+  out["on_fail"] = plan.on_fail == OnFail::back ? "back" : "hold";
+  return out;
+}
+
+}  // namespace yokestream::migration
--- a/src/standin/duty_process.h
+++ b/src/standin/duty_process.h
@@ -3,6 +3,7 @@
 
 #include <array>
 
+#include "migration/mover.h"
 #include "standin/duty_world.h"
 #include "store/addresses.h"
 
@@ -12,7 +13,9 @@
 using std::chrono::milliseconds;
 
 struct DutyWorld::Process {
+  std::unique_ptr<migration::Mover> mover;
   std::unique_ptr<Fleet> fleet;
+  std::unique_ptr<Edge> edge;
   std::unique_ptr<store::Addresses> addresses;
   std::uint64_t life = 0, call = 0;  // counted up, so that what is meant for an earlier one is dropped
   double rate = 1, traffic = 1;
--- a/src/standin/duty_troubles.cpp
+++ b/src/standin/duty_troubles.cpp
@@ -1,6 +1,7 @@
 // What goes wrong in a DutyWorld, and what is seen of it.
 #include <algorithm>
 
+#include "base/json.h"
 #include "standin/duty_process.h"
 
 namespace yokestream::standin {
@@ -15,12 +16,17 @@
   if (p.lives) return;
   ++p.life, ++p.call;
   p.lives = true, p.stopped = false, p.held.clear(), p.watches = {}, p.acting = {};
-  p.fleet =
-      std::make_unique<Fleet>(settings_.duty, "n" + std::to_string(at), "1", settings_.processes, local(p));
+  p.fleet.reset();  // it uses the mover
+  p.mover = std::make_unique<migration::Mover>(settings_.edges.longest, settings_.duty.drift,
+                                               settings_.edges.without);
+  p.fleet = std::make_unique<Fleet>(settings_.duty, "n" + std::to_string(at), "1", settings_.processes,
+                                    local(p), std::vector<duty::Duty*>{p.mover.get()});
+  p.edge = std::make_unique<Edge>(settings_.edges, "n" + std::to_string(at));
   p.addresses =
       std::make_unique<store::Addresses>(std::vector<config::Endpoint>(1), random_(), settings_.duty.spread);
   p.acting = p.fleet->allowed();
   turn(at);
+  if (settings_.edges.areas > 0) send(at);
 }
 void DutyWorld::ended(std::size_t p) {
   if (owner() == p) vacant_since_ = now_;
@@ -58,8 +64,26 @@
   if (which == 8) cut(p, true, true), traffic(p, per_s);
 }
 
+void DutyWorld::ask(const std::string& what, const std::string& text) {
+  const std::string key = duty::Names(settings_.duty.prefix).asks() + what;
+  store_.handle(now_, store::Txn{{}, {store::Put{key, text, store::LeaseId::none}}, {}});
+  changed();
+}
+
+void DutyWorld::propose(const migration::Plan& plan) {
+  moves_.plan(plan);
+  ask("plan/" + plan.name, base::write_json(migration::to_json(plan)));
+}
+
 // ---- what is seen
 
+const migration::Record& DutyWorld::migrations() {
+  const auto all = store_.range({duty::Names(settings_.duty.prefix).state(migration::Mover::kName), {}, 0});
+  record_ = all.empty() ? migration::Record{}
+                        : migration::decode_record(all.front().value).value_or(migration::Record{});
+  return record_;
+}
+
 std::optional<std::size_t> DutyWorld::owner() const {
   const duty::Names names(settings_.duty.prefix);
   const std::string line = names.line(Fleet::kDuty);
--- a/src/standin/duty_world.cpp
+++ b/src/standin/duty_world.cpp
@@ -106,6 +106,7 @@
       });
     });
   }
+  if (settings_.edges.areas > 0) act(at);
   const Time local_now = local(p);
   if (local_now >= p.addresses->not_before()) {
     if (const auto request = fleet.next(local_now)) {
@@ -125,6 +126,36 @@
         [this, at, life = p.life] { reach(at, life, [this, at] { turn(at); }); });
 }
 
+// What the core of this process acts on: a moment after its keeper knows, and told to it when it does.
+void DutyWorld::act(std::size_t at) {
+  Process& p = *processes_[at];
+  if (!p.edge->behind(*p.mover, p.fleet->until())) return;
+  later(now_ + std::chrono::duration_cast<Duration>(kCoreLooks * draw()), [this, at, life = p.life] {
+    reach(at, life, [this, at] {
+      Process& process = *processes_[at];
+      process.edge->take(*process.mover, process.fleet->until());
+    });
+  });
+}
+
+// One request of this process, and the next one later.
+void DutyWorld::send(std::size_t at) {
+  const std::uint64_t life = processes_[at]->life;
+  reach(at, life, [this, at] {
+    Process& p = *processes_[at];
+    const auto sent = p.edge->send(now_, local(p), random_, moves_, figures_.edges);
+    if (!sent.empty() && figures_.violation.empty()) figures_.violation = sent;
+    const auto acted = p.edge->acted(now_);
+    if (acted >= 0) p.fleet->applied(*p.mover, acted);
+    p.fleet->tallies(p.mover->tallies(p.edge->tallies()));
+    turn(at);
+  });
+  const auto wait = std::chrono::duration_cast<Duration>(settings_.edges.every * (0.5 + draw()));
+  later(now_ + wait, [this, at, life] {
+    if (processes_[at]->lives && processes_[at]->life == life) send(at);
+  });
+}
+
 void DutyWorld::ask(std::size_t at, const store::Request& request) {
   Process& p = *processes_[at];
   ++figures_.calls;
--- a/src/standin/duty_world.h
+++ b/src/standin/duty_world.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "duty/fleet.h"
+#include "standin/edge.h"
 #include "standin/history.h"
 #include "standin/store_model.h"
 
@@ -27,6 +28,7 @@
   double watch_cut = 0.01;                               // share of a watch's messages after which it is cut
   double rates = 0.01;                                   // clocks run fast or slow by up to so much
   std::uint64_t seed = 1;
+  EdgeSettings edges;  // what the processes send, where areas move
 };
 
 struct DutyFigures {
@@ -35,6 +37,7 @@
   std::vector<double> vacancies;  // seconds without an owner's write after an owner's end
   double most_in_force = 0;       // sum of the parts, of the whole
   std::string violation;          // empty: none
+  EdgeFigures edges;
 };
 
 class DutyWorld {
@@ -54,6 +57,9 @@
   void away(bool away) { away_ = away; }                 // the store answers nobody
   void traffic(std::size_t process, double per_s);
   void leave(std::size_t process);
+  void ask(const std::string& what, const std::string& text);  // staff, of the owner (duty/names.h)
+  void propose(const migration::Plan& plan);                   // asks for it, and holds it against its order
+  const migration::Record& migrations();                       // as they stand in the store
   // One of these, or a start, by a number below kTroubles; the last one sets its traffic, too.
   static constexpr unsigned kTroubles = 9;
   void trouble(std::size_t process, std::uint64_t which, double per_s);
@@ -88,6 +94,8 @@
   void ended(std::size_t process);
   void changed();
   void check();
+  void act(std::size_t process);
+  void send(std::size_t process);
 
   const DutySettings settings_;
   std::mt19937_64 random_;
@@ -98,6 +106,8 @@
   std::vector<std::unique_ptr<Process>> processes_;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
   DutyChecker checker_;
+  MoveChecker moves_;
+  migration::Record record_;
   std::size_t checked_ = 0;  // of the store's history
   std::optional<Time> vacant_since_;
   DutyFigures figures_;
--- a/src/standin/fleet.cpp
+++ b/src/standin/fleet.cpp
@@ -49,7 +49,7 @@
 void Fleet::share_out() {
   std::map<std::string, duty::Fact> living;
   for (const auto& seat : seats_)
-    living[std::to_string(seat->index)] = {std::to_string(seat->index), "", seat->per_s, {}};
+    living[std::to_string(seat->index)] = {std::to_string(seat->index), "", seat->per_s, {}, {}};
   const duty::Shares shares(settings_.managers);
   duty::Table table;
   while (const auto next = shares.next(table, living)) table = *next;
