Staged migration in serve, and fleet propose, status, halt, resume

The fleet's thread keeps the Mover, tells the core the table with the session's grant, and says in its fact which epoch the core keeps to wholly and what it counted on each side. The command reads and checks a plan as a whole, writes what staff ask for once (a reply that was lost is found there), and tells which edge, area or gate is waited for.

--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -16,7 +16,8 @@
 void add_serve(CLI::App& app, int& status);
 void add_check_config(CLI::App& app, int& status);
 void add_print_config(CLI::App& app, int& status);
-void add_plan(CLI::App& app, int& status);  // hands on to yokestream_plan beside the program
+void add_plan(CLI::App& app, int& status);   // hands on to yokestream_plan beside the program
+void add_fleet(CLI::App& app, int& status);  // propose, status, halt, resume: what staff ask the owner for
 void add_version(CLI::App& app, int& status);
 
 }  // namespace yokestream::cli
--- /dev/null
+++ b/src/cli/fleet.cpp
@@ -0,0 +1,146 @@
+// fleet propose, status, halt, resume: what staff ask the owner of the fleet's work for, through the store.
+#include <iostream>
+#include <memory>
+
+#include "base/json.h"
+#include "cli/commands.h"
+#include "migration/mover.h"
+#include "migration/status.h"
+#include "net/clock.h"
+#include "operator/operator_file.h"
+#include "store/client.h"
+
+namespace yokestream::cli {
+namespace {
+
+constexpr auto kAskWithin = std::chrono::seconds(5);
+
+// The store, as one command meets it: every address is tried, and what may have counted is read back.
+class Desk {
+ public:
+  explicit Desk(const config::Config& config) : config_(config), names_(config.fleet.prefix) {
+    if (!config.fleet.on) throw config::ConfigError("fleet.on", "the fleet shares no store");
+  }
+  const duty::Names& names() const { return names_; }
+
+  store::Done ask(const store::Request& request) {
+    std::string why;
+    for (const auto& address : config_.fleet.store) {
+      store::Client client({address}, 0, std::chrono::milliseconds(1));
+      const auto reply = client.ask(request, net::now() + kAskWithin);
+      if (const auto* done = std::get_if<store::Done>(&reply)) return *done;
+      const auto* failed = std::get_if<store::Failed>(&reply);
+      why = to_string(address) + ": " + (failed ? failed->why : std::get<store::Unknown>(reply).why);
+    }
+    throw config::ConfigError("fleet.store", why);
+  }
+  std::map<std::string, std::string> all(const std::string& prefix) {
+    std::map<std::string, std::string> out;
+    const auto done = ask(store::Range{prefix, store::after_prefix(prefix), 0});
+    for (const auto& kv : done.ranges.empty() ? std::vector<store::KeyValue>{} : done.ranges[0].all)
+      out[kv.key.substr(prefix.size())] = kv.value;
+    return out;
+  }
+  // Written once, however often it is tried: one that was lost and counted all the same is found there.
+  bool put_new(const std::string& what, const std::string& text) {
+    const std::string key = names_.asks() + what;
+    const auto done = ask(store::Txn{{{store::Compare::What::create, key, 0, {}}},
+                                     {store::Put{key, text, store::LeaseId::none}},
+                                     {store::Range{key, {}, 0}}});
+    return done.succeeded ||
+           (!done.ranges.empty() && !done.ranges[0].all.empty() && done.ranges[0].all[0].value == text);
+  }
+  migration::Record record() {
+    const auto states = all(names_.states());
+    const auto it = states.find(migration::Mover::kName);
+    if (it == states.end()) return {};
+    auto record = migration::decode_record(it->second);
+    if (!record) throw config::ConfigError(names_.state(migration::Mover::kName), "it can't be read");
+    return *record;
+  }
+
+ private:
+  const config::Config& config_;
+  const duty::Names names_;
+};
+
+int propose(const Files& files, const std::string& path) {
+  const auto both = operator_file::read_both(files.config, files.operators);
+  const Json::Value told = config::parse_json(path, operator_file::evaluate(path));
+  std::vector<std::string> problems;
+  const auto plan = migration::read_plan(told, problems);
+  std::vector<config::Member> engines;
+  for (const auto& event : both.config.known)
+    engines.insert(engines.end(), event.members.begin(), event.members.end());
+  if (plan) migration::check_against(*plan, both.config.fleet.areas, engines, problems);
+  if (!problems.empty()) {
+    std::string all = path + ":";
+    for (const auto& problem : problems) all += "\n  " + problem;
+    std::cerr << all << std::endl;
+    return 1;
+  }
+  Desk desk(both.config);
+  if (!desk.put_new("plan/" + plan->name, base::write_json(migration::to_json(*plan)))) {
+    std::cerr << "another plan " << plan->name << " waits for an owner's answer" << std::endl;
+    return 1;
+  }
+  std::cout << "proposed " << plan->name << "; see fleet status" << std::endl;
+  return 0;
+}
+
+int wish(const Files& files, const std::string& name, const std::string& word) {
+  const auto both = operator_file::read_both(files.config, files.operators);
+  Desk desk(both.config);
+  const auto record = desk.record();
+  const bool known = std::any_of(record.plans.begin(), record.plans.end(),
+                                 [&](const auto& running) { return running.plan.name == name; });
+  if (!known) {
+    std::cerr << "no plan " << name << " is under way" << std::endl;
+    return 1;
+  }
+  if (!desk.put_new("wish/" + name, word)) {
+    std::cerr << "another wish for " << name << " waits for an owner's answer" << std::endl;
+    return 1;
+  }
+  std::cout << "asked to " << word << " " << name << "; see fleet status" << std::endl;
+  return 0;
+}
+
+int tell_status(const Files& files) {
+  const auto both = operator_file::read_both(files.config, files.operators);
+  Desk desk(both.config);
+  std::map<std::string, duty::Fact> living;
+  for (const auto& [session, text] : desk.all(desk.names().alive()))
+    living[session] = duty::decode_fact(text).value_or(duty::Fact{});
+  std::cout << migration::status(desk.record(), living, migration::Mover::kName,
+                                 desk.all(desk.names().asks()))
+            << std::flush;
+  return 0;
+}
+
+}  // namespace
+
+void add_fleet(CLI::App& app, int& status) {
+  auto* fleet = app.add_subcommand("fleet", "Staged migrations of areas between origins");
+  fleet->require_subcommand(1);
+  const auto files = std::make_shared<Files>();
+  const auto word = std::make_shared<std::string>();
+  const auto add = [&](const char* name, const char* about) {
+    auto* command = fleet->add_subcommand(name, about);
+    add_files(*command, *files);
+    return command;
+  };
+  auto* proposes = add("propose", "Check a plan and ask the owner to begin it");
+  proposes->add_option("FILE", *word, "The plan, in Jsonnet")->required();
+  proposes->callback([=, &status] { status = propose(*files, *word); });
+  add("status", "How far plans have come, and what is waited for")->callback([=, &status] {
+    status = tell_status(*files);
+  });
+  for (const char* wanted : {"halt", "resume"}) {
+    auto* command = add(wanted, "Ask the owner to halt a plan, or to go on with it");
+    command->add_option("NAME", *word, "The plan's name")->required();
+    command->callback([=, &status] { status = wish(*files, *word, wanted); });
+  }
+}
+
+}  // namespace yokestream::cli
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,6 +12,7 @@
   cli::add_check_config(app, status);
   cli::add_print_config(app, status);
   cli::add_plan(app, status);
+  cli::add_fleet(app, status);
   cli::add_version(app, status);
   try {
     CLI11_PARSE(app, argc, argv);
--- a/src/manager/answers.cpp
+++ b/src/manager/answers.cpp
@@ -149,6 +149,7 @@
     clients_.serve(session, request.told.call, Result{std::move(attempt.end.body), std::move(attempt.held)});
     sessions_.served(now_, session);
     figures_.ended(static_cast<std::size_t>(request.told.cls), figures::End::served);
+    tally(request, true);
     close_call(request);
   }
   end_attempt(query, request, Outcome::served);
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -21,6 +21,7 @@
 #include "manager/sessions.h"
 #include "queues/queues.h"
 #include "routes/routes.h"
+#include "routes/tally.h"
 
 namespace yokestream::manager {
 
@@ -53,6 +54,8 @@
   // Whether nothing is out any more that the table of now would not let out (S6): only then may it be said to
   // be acted on.
   bool keeps_to_routes() const;
+  std::int64_t routes_epoch() const { return routes_.epoch(); }
+  const routes::Tallies& tallies() const { return tallies_; }
   void count_fronts(double fronts);  // 1 or more: this manager's part of the load is one over them
 
   std::size_t open_requests() const { return calls_.size(); }
@@ -200,6 +203,7 @@
   lynxstand::EngineList take_list(const config::MembersEvent& event, bool remembered);
   bool bars(const routes::Route& route, const std::string& uid) const;
   void tell_routes();
+  void tally(const Request& request, bool served);
   void due(const RoutesEnd&);
 
   const config::Config& config_;
@@ -223,6 +227,7 @@
   std::uint64_t noted_turned_away_ = 0, noted_waited_ = 0;
   std::size_t beside_ = 0;  // processes of this manager
   routes::Routes routes_;
+  routes::Tallies tallies_;
   double fronts_;                      // as told from outside, else by the settings
   std::deque<lynxstand::Event> told_;  // what the controller is yet to hear
   std::vector<lynxstand::Action> actions_;
--- a/src/manager/requests.cpp
+++ b/src/manager/requests.cpp
@@ -178,6 +178,7 @@
   const auto it = requests_.find(refuse.query);
   if (it == requests_.end() || it->second.answered) return;
   it->second.past.refused = true;
+  tally(it->second, false);
   close_call(it->second);
   this->refuse(it->second.told, refuse.come_back_after);
   forget_if_done(it);
@@ -186,6 +187,7 @@
 void Manager::act(const lynxstand::Fail& fail) {
   const auto it = requests_.find(fail.query);
   if (it == requests_.end() || it->second.answered) return;
+  tally(it->second, false);
   close_call(it->second);
   this->fail(it->second.told, "Failed");
   forget_if_done(it);
--- a/src/manager/routing.cpp
+++ b/src/manager/routing.cpp
@@ -5,6 +5,8 @@
 // hears of each change before the module is asked for anything else, and what it chose before is judged again
 // as it is sent (attempts.cpp). What was written under an earlier table goes on to its end: the process says
 // that it acts on a table only when nothing of that kind is out (S6).
+#include <algorithm>
+
 #include "manager/manager.h"
 
 namespace yokestream::manager {
@@ -61,6 +63,20 @@
   return slot >= lynxstand::kMostSlots || !(*route.among)[slot];
 }
 
+void Manager::tally(const Request& request, bool served) {
+  if (!request.eligible) return;  // no rule, or the module was not asked
+  const auto& cls = config_.settings.classes[static_cast<std::size_t>(request.told.cls)];
+  const routes::Route route = route_of(request.told);
+  if (!route.among || cls.repeatable != lynxstand::Repeatable::always) return;
+  auto& [left, taken] = tallies_[request.told.tables];
+  routes::Tally& side = route.moved ? taken : left;
+  ++side.all, side.served += served;
+  if (!served || !request.told.work || !request.attempt) return;
+  const auto us = [](Duration d) { return std::chrono::duration_cast<std::chrono::microseconds>(d).count(); };
+  side.took_us += us(request.attempt->took);
+  side.told_us += us(std::chrono::duration_cast<Duration>(*request.told.work / std::max(1.0, cls.threads)));
+}
+
 // The list as the module is to hear it, with the slots by which sets name engines.
 lynxstand::EngineList Manager::take_list(const config::MembersEvent& event, bool remembered) {
   lynxstand::EngineList list = directory_.apply(now_, event, remembered);
--- /dev/null
+++ b/src/migration/status.h
@@ -0,0 +1,17 @@
+// What staff are told of migrations: how far each plan has come, and which edge or gate is waited for. Pure.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "duty/names.h"
+#include "migration/record.h"
+
+namespace yokestream::migration {
+
+// `living`: facts by session. `duty`: under which name they acknowledge. `asked`: what the owner has not
+// answered yet. Lines, each with its end.
+std::string status(const Record& record, const std::map<std::string, duty::Fact>& living,
+                   const std::string& duty, const std::map<std::string, std::string>& asked);
+
+}  // namespace yokestream::migration
--- a/src/migration/tally.h
+++ b/src/migration/tally.h
@@ -1,26 +1,19 @@
-// Outcomes on the two sides of what moves, and whether the new side does as well as the one left behind.
+// Whether the new side of what moves does as well as the one left behind, by what all edges counted.
 //
-// Only requests that may be repeated and were answered; counted from the start of a session, so that a lost
-// message loses nothing. Pure values; any thread. Memory: eight numbers a plan.
+// Pure values; any thread. Memory: eight numbers a plan.
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "migration/plan.h"
+#include "routes/tally.h"
 
 namespace yokestream::migration {
 
-struct Tally {
-  std::int64_t all = 0, served = 0;
-  std::int64_t took_us = 0, told_us = 0;  // of the served: time at the engines, and as predicted
-  bool operator==(const Tally&) const = default;
-};
-// By area; the side left behind, then the new one.
-using Tallies = std::map<TableGroupId, std::pair<Tally, Tally>>;
+using routes::Tallies;
+using routes::Tally;
 
 // Both sides of a plan as the numbers that a fact carries, and their sums.
 std::vector<std::int64_t> numbers(const Tally& left, const Tally& taken);
--- a/src/net/events.h
+++ b/src/net/events.h
@@ -11,6 +11,7 @@
 #include "net/queue.h"
 #include "net/socket.h"
 #include "queues/settings.h"
+#include "routes/routes.h"
 
 namespace yokestream::net {
 
@@ -28,7 +29,11 @@
 struct FleetTold {  // which part of the fleet's load this process may count on
   duty::Fleet::Allowed allowed;
 };
-using DriverEvent = std::variant<manager::Event, Accepted, Reloaded, FleetTold>;
+struct RoutesTold {                    // where requests of areas that move may go, before `until`
+  std::optional<routes::Table> table;  // nullopt: nowhere
+  Time until{};
+};
+using DriverEvent = std::variant<manager::Event, Accepted, Reloaded, FleetTold, RoutesTold>;
 using Inbox = Mailbox<DriverEvent>;
 
 }  // namespace yokestream::net
--- a/src/net/fleet_keeper.cpp
+++ b/src/net/fleet_keeper.cpp
@@ -4,6 +4,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <system_error>
 
@@ -16,12 +17,24 @@
 constexpr double kTrafficStep = 0.1;                              // weight of one second in the traffic
 constexpr Duration kWatchAgain = std::chrono::milliseconds(100);  // where one could not be opened
 
+// Attempts end with their requests' deadlines, or when the engine has confirmed a stop.
+constexpr Duration kStops = std::chrono::milliseconds(1000);
+
+std::optional<migration::Mover> mover_for(const config::Config& config) {
+  if (config.fleet.areas.empty()) return std::nullopt;
+  Duration longest{};
+  for (const Duration deadline : config.real.deadlines) longest = std::max(longest, deadline);
+  return std::optional<migration::Mover>(std::in_place, longest + kStops, config.fleet.drift);
+}
+
 }  // namespace
 
 FleetKeeper::FleetKeeper(const config::Config& config, Inbox& inbox, manager::Log& log)
     : inbox_(inbox),
       log_(log),
-      fleet_(config.fleet, config.name, "1", config.settings.fronts, now()),
+      mover_(mover_for(config)),
+      fleet_(config.fleet, config.name, "1", config.settings.fronts, now(),
+             mover_ ? std::vector<duty::Duty*>{&*mover_} : std::vector<duty::Duty*>{}),
       ask_within_(config.fleet.ask),
       client_(config.fleet.store, config.seed, config.fleet.spread),
       measure_at_(now() + kMeasureEvery),
@@ -43,6 +56,16 @@
   raise_event(news_);
 }
 
+void FleetKeeper::routed(std::int64_t epoch) {
+  routed_ = epoch;
+  raise_event(news_);
+}
+
+void FleetKeeper::tally(const routes::Tallies& tallies) {
+  const std::lock_guard lock(tallied_);
+  tallies_ = tallies;
+}
+
 void FleetKeeper::leave() {
   leaving_ = true;
   raise_event(news_);
@@ -54,9 +77,10 @@
   while (!over_ && !fleet_.left()) {
     const Time time = now();
     if (leaving_ && !std::exchange(told_to_leave, true)) fleet_.leave();
-    fleet_.applied(applied_);
+    hear_core();
     measure(time);
     tell_core();
+    if (mover_) tell_routes();
     tell_log();
     const auto request = time < client_.not_before() ? std::nullopt : fleet_.next(time);
     if (request) {
@@ -69,6 +93,14 @@
   }
 }
 
+void FleetKeeper::hear_core() {
+  fleet_.applied(applied_);
+  if (!mover_) return;
+  fleet_.applied(*mover_, routed_);
+  const std::lock_guard lock(tallied_);
+  fleet_.tallies(mover_->tallies(tallies_));
+}
+
 void FleetKeeper::ask(const store::Request& request) {
   const auto reply = client_.ask(request, now() + ask_within_);
   fleet_.replied(now(), reply);
@@ -91,6 +123,16 @@
   inbox_.post(FleetTold{allowed});
 }
 
+// The grant is this session's: a core that hears of no renewal closes the areas by itself.
+void FleetKeeper::tell_routes() {
+  auto table = mover_->table();
+  const std::int64_t epoch = table ? table->epoch : -1;
+  const Time until = fleet_.until();
+  if (epoch == told_epoch_ && until == told_until_) return;
+  told_epoch_ = epoch, told_until_ = until;
+  inbox_.post(RoutesTold{std::move(table), until});
+}
+
 void FleetKeeper::tell_log() {
   if (fleet_.trouble() != noted_) log_.note("the fleet: " + (noted_ = fleet_.trouble()));
   if (fleet_.owner() == owner_) return;
--- a/src/net/fleet_keeper.h
+++ b/src/net/fleet_keeper.h
@@ -1,17 +1,19 @@
 // Keeps this process's place in its fleet: the thread that asks the store what duty::Fleet wants asked, reads
-// its watches, and tells the core which part of the load it may count on.
+// its watches, and tells the core which part of the load it may count on and where areas that move may go.
 //
 // Only where the operator file switches `fleet` on. Any thread may call. Memory: what duty::Fleet and one
-// reply take. Descriptors: five at most (a call, two watches, an event, epoll's none). One thread. A store
+// reply take. Descriptors: five at most (a call, two watches, an event, one to spare). One thread. A store
 // that is slow or away holds up nobody else.
 #pragma once
 
 #include <array>
 #include <atomic>
+#include <mutex>
 #include <string>
 
 #include "config/config.h"
 #include "duty/fleet.h"
+#include "migration/mover.h"
 #include "net/events.h"
 #include "net/thread.h"
 #include "store/client.h"
@@ -27,9 +29,11 @@
   FleetKeeper(const config::Config& config, Inbox& inbox, manager::Log& log);
   ~FleetKeeper();  // at once; what leave() has not given back ends with its lease
 
-  void arrived() { ++arrived_; }     // a request, for this process's traffic
-  void applied(std::int64_t epoch);  // the core acts on this table from now on
-  void leave();                      // gives its place and its lease back, as the store allows
+  void arrived() { ++arrived_; }               // a request, for this process's traffic
+  void applied(std::int64_t epoch);            // the core acts on this table from now on
+  void routed(std::int64_t epoch);             // and keeps wholly to this one's routes
+  void tally(const routes::Tallies& tallies);  // what it counted on the sides of what moves
+  void leave();                                // gives its place and its lease back, as the store allows
 
  private:
   void run();
@@ -37,12 +41,15 @@
   void keep_watches(Time now);
   void wait(Time until);
   void tell_core();
+  void tell_routes();
+  void hear_core();
   void tell_log();
   void measure(Time now);
 
   Inbox& inbox_;
   manager::Log& log_;
-  duty::Fleet fleet_;  // its thread only, as the next
+  std::optional<migration::Mover> mover_;  // where areas may move; its thread only, as the next
+  duty::Fleet fleet_;
   const Duration ask_within_;
   store::Client client_;
   std::array<store::Watcher, duty::Fleet::kSlots> watchers_;
@@ -54,7 +61,11 @@
   Time measure_at_{};
   double traffic_ = 0;
   std::atomic<std::uint64_t> arrived_{0};
-  std::atomic<std::int64_t> applied_{-1};
+  std::atomic<std::int64_t> applied_{-1}, routed_{-1};
+  std::mutex tallied_;  // guards the next
+  routes::Tallies tallies_;
+  std::int64_t told_epoch_ = -2;  // of the routes, as the core was told last; -1: closed
+  Time told_until_{};
   std::atomic<bool> leaving_{false}, over_{false};
   Fd news_;
   Thread thread_;  // last: it uses the rest
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -131,7 +131,7 @@
     if (manager_.left(time) || (end_by != Time::max() && time >= end_by + kLastWrites)) break;
     if (listener_ && !manager_.service().listens(time)) undertaker_.bury(std::move(listener_));
     heed_operators();
-    if (keeper_) look_at_part();
+    if (keeper_) look_at_part(), look_at_routes();
     auto events = inbox_.take_until(manager_.next_due());
     const Time began = now();
     const std::size_t count = events.size();
@@ -169,6 +169,7 @@
     allowed_ = part->allowed;
     return;
   }
+  if (const auto* routes = std::get_if<RoutesTold>(&event)) return take(*routes);
   auto& told = std::get<manager::Event>(event);
   if (keeper_ && std::holds_alternative<manager::Arrived>(told)) keeper_->arrived();
   if (auto* leave = std::get_if<manager::Leave>(&told)) {
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -42,6 +42,8 @@
   void look_at_others();
   void hand_over();
   void look_at_part();
+  void take(const RoutesTold& told);
+  void look_at_routes();
   manager::Leave leave_as() const;
 
   void serve(manager::SessionId session, manager::CallId call, manager::Result result) override;
@@ -83,13 +85,15 @@
   std::unique_ptr<FeedFollower> feed_;
   Gate gate_;
   std::unique_ptr<Listener> listener_;
-  std::optional<Together> together_;        // where processes may share the listener
-  std::optional<HandOver> hand_over_;       // the same
-  Time next_look_{}, next_hand_over_{};     // at the others; the core's thread only
-  std::optional<FleetKeeper> keeper_;       // where the fleet shares a store
-  duty::Fleet::Allowed allowed_;            // the core's thread only, as the next: what it says
-  duty::Part part_ = 0;                     // and what the core acts on
-  std::int64_t applied_ = -1;               // the same: the table that says so
+  std::optional<Together> together_;     // where processes may share the listener
+  std::optional<HandOver> hand_over_;    // the same
+  Time next_look_{}, next_hand_over_{};  // at the others; the core's thread only
+  std::optional<FleetKeeper> keeper_;    // where the fleet shares a store
+  duty::Fleet::Allowed allowed_;         // the core's thread only, as the next: what it says
+  duty::Part part_ = 0;                  // and what the core acts on
+  std::int64_t applied_ = -1;            // the same: the table that says so
+  std::int64_t routed_ = -1;             // and the routes that it keeps to
+  Time next_tally_{};
   bool alone_ = false;                      // the core's thread only, as the next: others have gone
   bool evacuated_ = false;                  // the core's thread only: the wish that it has carried out
   std::unique_ptr<Management> management_;  // its thread reads the core's figures, and opens the gate
--- a/src/net/server_beside.cpp
+++ b/src/net/server_beside.cpp
@@ -14,6 +14,7 @@
 constexpr Duration kKillAfter = milliseconds(700);
 constexpr Duration kLookAtOthers = milliseconds(100);
 constexpr Duration kHandOverEvery = milliseconds(1000);
+constexpr Duration kTallyEvery = milliseconds(500);
 // A part is counted on for so much less than it may be: the core looks at it at each turn, 200 ms apart at
 // most.
 constexpr Duration kPartSpare = milliseconds(250);
@@ -50,6 +51,21 @@
   if (gate_.is_open() && !manager_.service().leaving()) hand_over_->offer(manager_.learnt());
 }
 
+// Where areas that move may go; counted on a moment less, like parts. The epoch is said to be kept to only
+// when nothing is out any more that it bars.
+void Server::take(const RoutesTold& told) {
+  const Time until = told.until > Time::min() + kPartSpare ? told.until - kPartSpare : Time::min();
+  manager_.route(now(), told.table.value_or(routes::Table{}), told.table ? until : Time::min());
+}
+
+void Server::look_at_routes() {
+  const std::int64_t epoch = manager_.routes_epoch();
+  if (routed_ != epoch && manager_.keeps_to_routes()) keeper_->routed(routed_ = epoch);
+  if (manager_.tallies().empty() || now() < next_tally_) return;
+  next_tally_ = now() + kTallyEvery;
+  keeper_->tally(manager_.tallies());
+}
+
 // Which part of the fleet's load this process counts on now; told on once the core acts on it.
 void Server::look_at_part() {
   const auto part = now() + kPartSpare < allowed_.until ? allowed_.part : allowed_.after;
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -31,7 +31,7 @@
 
 Operator defaults(const config::Config& platform) { return decode("{}", platform); }
 
-Operator read(const std::string& path, const config::Config& platform) {
+std::string evaluate(const std::string& path) {
   struct Close {
     void operator()(JsonnetVm* vm) const { jsonnet_destroy(vm); }
   };
@@ -45,7 +45,11 @@
     std::replace(text.begin(), text.end(), '\n', ' ');
     throw ConfigError(path, text);
   }
-  return decode(text, platform);
+  return text;
+}
+
+Operator read(const std::string& path, const config::Config& platform) {
+  return decode(evaluate(path), platform);
 }
 
 Effective read_both(const std::string& platform_path, const std::string& operator_path) {
--- a/src/operator/operator_file.h
+++ b/src/operator/operator_file.h
@@ -35,6 +35,7 @@
 // `platform` tells the members, whose shares are the door's weights where the file names none.
 // Both throw config::ConfigError.
 Operator decode(const std::string& json, const config::Config& platform);
+std::string evaluate(const std::string& path);  // a Jsonnet file, as JSON; throws config::ConfigError
 Operator read(const std::string& path, const config::Config& platform);
 Operator defaults(const config::Config& platform);  // where there is no file
 
--- a/src/operator/read_fleet.cpp
+++ b/src/operator/read_fleet.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr std::size_t kMostAddresses = 16;
+constexpr std::size_t kMostAreas = 1024;
 
 std::vector<config::Endpoint> read_addresses(const Json::Value& told, const std::string& path) {
   if (!told.isNull() && !told.isArray()) throw config::ConfigError(path, "not a list of addresses");
@@ -17,6 +18,17 @@
   return out;
 }
 
+std::vector<lynxstand::TableGroupId> read_areas(const Json::Value& told, const std::string& path) {
+  if (!told.isNull() && !told.isArray()) throw config::ConfigError(path, "not a list of areas");
+  if (told.size() > kMostAreas) throw config::ConfigError(path, "more than 1024 areas");
+  std::vector<lynxstand::TableGroupId> out;
+  for (Json::ArrayIndex i = 0; i < told.size(); ++i) {
+    if (!told[i].isUInt64()) throw config::ConfigError(fmt::format("{}[{}]", path, i), "not a whole number");
+    out.push_back(lynxstand::TableGroupId{told[i].asUInt64()});
+  }
+  return out;
+}
+
 }  // namespace
 
 duty::Settings read_fleet(const Json::Value& told, std::vector<Value>& values) {
@@ -24,6 +36,7 @@
   duty::Settings fleet;
   fleet.on = section.flag("on", fleet.on);
   fleet.store = read_addresses(section.at("store"), section.path("store"));
+  fleet.areas = read_areas(section.at("areas"), section.path("areas"));
   const Json::Value& prefix = section.at("prefix");
   if (!prefix.isNull()) fleet.prefix = prefix.isString() ? prefix.asString() : "";
   if (fleet.prefix.empty() || fleet.prefix.size() > 128 || fleet.prefix.back() == '/')
--- a/src/routes/routes.cpp
+++ b/src/routes/routes.cpp
@@ -88,8 +88,8 @@
     route.closed |= rule.loads == Rule::Loads::nowhere;
     route.among = &sets_[rule.loads == Rule::Loads::to ? rule.to : rule.from];
   } else {
-    const bool moved = XXH3_64bits(request_id.data(), request_id.size()) % Rule::kAll < rule.moved;
-    route.among = &sets_[moved ? rule.to : rule.from];
+    route.moved = XXH3_64bits(request_id.data(), request_id.size()) % Rule::kAll < rule.moved;
+    route.among = &sets_[route.moved ? rule.to : rule.from];
   }
   return route;
 }
--- a/src/routes/routes.h
+++ b/src/routes/routes.h
@@ -56,6 +56,7 @@
   const EngineSet* among = nullptr;  // nullptr: any engine
   bool closed = false;               // nowhere now
   bool touched = false;              // its attempts need the grant
+  bool moved = false;                // may run twice, and is on the new side
 };
 
 class Routes {
--- a/tests/node/migration_fixture.h
+++ b/tests/node/migration_fixture.h
@@ -11,6 +11,8 @@
 using migration::Mover;
 using migration::OnFail;
 using migration::Plan;
+using migration::Record;
+using migration::Running;
 
 inline Plan a_plan(std::size_t areas, Duration hold = 2s) {
   Plan plan;
@@ -27,6 +29,38 @@
 }
 inline std::string text_of(const Plan& plan) { return base::write_json(migration::to_json(plan)); }
 
+// The owner's side alone, told what it sees.
+struct Owner {
+  explicit Owner(Plan p, unsigned without = 0) : plan(std::move(p)), mover(3s, 0.01, without) {
+    looked.term = 5;
+    live("1"), live("2");
+  }
+  void live(const std::string& session) { looked.living[session] = {"n" + session, "1", 0, {}, {}}; }
+  // One look; true: it wrote. All living sessions but `silent` act on it at once.
+  bool look(Duration later = 1s) {
+    looked.now += later;
+    const auto draft = mover.next(looked);
+    if (!draft) return false;
+    for (const auto& asked : draft->answered) looked.asked.erase(asked);
+    CHECK(mover.see(draft->state, "1"));
+    for (auto& [session, fact] : looked.living)
+      if (session != silent) fact.seen[Mover::kName] = mover.record().epoch;
+    return true;
+  }
+  void propose() { looked.asked["plan/" + plan.name] = text_of(plan); }
+  std::vector<std::size_t> steps() const {
+    return mover.record().plans.empty() ? std::vector<std::size_t>{} : mover.record().plans[0].steps;
+  }
+  std::string ended() const {
+    const auto it = mover.record().ended.find("south");
+    return it == mover.record().ended.end() ? "" : it->second;
+  }
+  Plan plan;
+  Mover mover;
+  duty::Looked looked{Time(1000s), {}, {}, 0};
+  std::string silent;
+};
+
 inline DutySettings moving(std::size_t processes, std::size_t areas, std::uint64_t seed) {
   DutySettings settings;
   settings.processes = processes;
--- a/tests/node/net_fickle.h
+++ b/tests/node/net_fickle.h
@@ -5,11 +5,33 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <mutex>
+
 #include "net_peers.h"
 #include "net_system.h"
 
 namespace yokestream::test {
 
+// The ids of requests in the order in which they came, with their times. Any thread.
+class Seen {
+ public:
+  void note(const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    all_.emplace_back(net::now(), id);
+  }
+  std::vector<std::pair<Time, std::string>> begin_with(const std::string& prefix) const {
+    const std::lock_guard lock(mutex_);
+    std::vector<std::pair<Time, std::string>> out;
+    for (const auto& one : all_)
+      if (one.second.rfind(prefix, 0) == 0) out.push_back(one);
+    return out;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::vector<std::pair<Time, std::string>> all_;
+};
+
 // An engine that answers, refuses, breaks off or reads nothing for a while, at random. One thread of the
 // test's own.
 class Fickle {
@@ -24,6 +46,7 @@
   }
   config::Endpoint at() const { return listening_.at; }
   long requests() const { return requests_; }  // read whole so far
+  const Seen& seen() const { return seen_; }
 
  private:
   void run() {
@@ -78,6 +101,7 @@
     if (parts[0] == "FETCH") return say("rows", "index=" + parts[2], "a\tb\t" + parts[1] + "\n");
     if (parts[0] != "REQ") return true;
     ++requests_;
+    seen_.note(parts[1]);
     const auto what = steady_ ? 20 : steps_.below(20);
     if (what == 0) return false;
     if (what == 1) return say("crashed", "-", "-");
@@ -86,6 +110,7 @@
   }
 
   const bool steady_;  // it serves all
+  Seen seen_;
   std::atomic<long> requests_{0};
   Steps steps_;
   Listening listening_;
@@ -131,8 +156,8 @@
   bool try_ask(const std::string& id, std::size_t size) {  // false: the connection has ended
     const int number = ++last;
     open.insert(number);
-    const std::string statement = "select '" + std::string(size, 'x') + "'";
-    std::string bytes = call(number, id, "");
+    const std::string statement = "select '" + std::string(size, 'x') + "'" + tail;
+    std::string bytes = call(number, id, "", cls);
     bytes.resize(bytes.size() - 2);
     bytes += '\xc5';
     bytes += static_cast<char>(statement.size() >> 8);
@@ -155,7 +180,8 @@
     came.erase(0, size);
     return true;
   }
-  bool served = false;  // was the answer heard last
+  std::string cls = "look", tail;  // of its statements
+  bool served = false;             // was the answer heard last
   int last = 0;
   std::set<int> open;
 };
--- a/tests/node/net_peers.h
+++ b/tests/node/net_peers.h
@@ -55,10 +55,11 @@
          R"(","az":"z","model":"m","state":"up"}]}})" + "\n\n";
 }
 
-inline std::string call(int number, const std::string& id, const std::string& statement) {
+inline std::string call(int number, const std::string& id, const std::string& statement,
+                        const std::string& cls = "look") {
   const auto text = [](const std::string& t) { return static_cast<char>(0xa0 | t.size()) + t; };
   std::string out{'\x94', '\x00', static_cast<char>(number)};
-  out += text("look") + "\x92\x83" + text("req") + text(id) + text("timeout") + text("4000") + text("owner") +
+  out += text(cls) + "\x92\x83" + text("req") + text(id) + text("timeout") + text("4000") + text("owner") +
          text("acme");
   return out + '\xc4' + static_cast<char>(statement.size()) + statement;
 }
--- a/tests/processes/crowd.cpp
+++ b/tests/processes/crowd.cpp
@@ -17,8 +17,9 @@
 
 }  // namespace
 
-Crowd::Crowd(const config::Endpoint& manager, int clients) : manager_(manager) {
-  for (int i = 0; i < clients; ++i)
+Crowd::Crowd(const config::Endpoint& manager, int clients, Asks asks)
+    : manager_(manager), asks_(std::move(asks)) {
+  for (int i = asks_.first; i < asks_.first + clients; ++i)
     threads_.push_back(std::make_unique<net::Thread>("crowd", net::kLargeStack, [this, i] { run(i); }));
 }
 
@@ -40,7 +41,10 @@
     std::snprintf(id, sizeof id, "%08x%08x", static_cast<unsigned>(number), ++asked);
     bool heard = false;
     for (int tries = 0; tries < 2 && !heard; ++tries) {
-      if (!client || client->last >= 100 || has_ended(*client)) client = std::make_unique<Asking>(manager_);
+      if (!client || client->last >= 100 || has_ended(*client)) {
+        client = std::make_unique<Asking>(manager_);
+        client->cls = asks_.cls, client->tail = asks_.tail;
+      }
       heard = client->try_ask(id, 20) && client->hear();
       if (!heard) client.reset(), ++turned_back;
     }
--- a/tests/processes/crowd.h
+++ b/tests/processes/crowd.h
@@ -14,9 +14,14 @@
 
 namespace yokestream::test {
 
+struct Asks {
+  std::string cls = "look", tail;  // of what is sent: its class, and how its statements end
+  int first = 0;                   // the number that its ids begin with
+};
+
 class Crowd {
  public:
-  Crowd(const config::Endpoint& manager, int clients);
+  Crowd(const config::Endpoint& manager, int clients, Asks asks = {});
   ~Crowd() { finish(); }
   void wait_for(long more);  // until so many further requests have been answered
   void finish();             // each waits for its last answer
@@ -27,6 +32,7 @@
   void run(int number);
 
   const config::Endpoint manager_;
+  const Asks asks_;
   std::atomic<bool> over_{false};
   std::vector<std::unique_ptr<net::Thread>> threads_;
 };
--- /dev/null
+++ b/tests/processes/migration_test.cpp
@@ -0,0 +1,215 @@
+// Areas that move between two engines while clients send to three processes, and processes are killed,
+// stopped and cut off. Waits for what stands in the store; verdicts are on what the engines saw.
+#include <fstream>
+#include <set>
+
+#include "migration/mover.h"
+#include "three_managers.h"
+
+namespace yokestream::test {
+namespace {
+
+using migration::Mover;
+using migration::Record;
+
+constexpr int kLoads = 16;  // ids of loads begin with this number, or one a little higher
+const char* const kLoadIds = "0000001";
+
+Record record(StoreModel& model) {
+  const auto found = model.range({kNames.state(Mover::kName), {}, 0});
+  return found.empty() ? Record{} : migration::decode_record(found[0].value).value_or(Record{});
+}
+
+struct Second {
+  Fickle new_engine{1, true};
+  config::Endpoint at = new_engine.at();
+};
+
+struct Moving : Second, ThreeManagers {
+  Moving() : ThreeManagers(", areas: [17, 18]", &at) {
+    server.wait([&](StoreModel& model) { return record(model).roster.size() == 3; });
+  }
+  // Clients of one process: looks and loads at area 17, looks at no area.
+  struct Clients {
+    explicit Clients(const config::Endpoint& at, int first = 0)
+        : looks(at, 2, {"look", " from sales_17.orders", first}),
+          loads(at, 2, {"load", " from sales_17.orders", kLoads + first}),
+          others(at, 1, {"look", "", 32 + first}) {}
+    void finish() { looks.finish(), loads.finish(), others.finish(); }
+    Crowd looks, loads, others;
+  };
+  std::string plan(const std::string& name, int hold_ms, const std::string& moves) {
+    return "{name: '" + name + "', origins: {old: {uids: ['e1']}, new: {uids: ['e2']}}, moves: [" + moves +
+           "], stages: [{edges: 0.4, traffic: 0.5, hold_ms: " + std::to_string(hold_ms) +
+           "}, {hold_ms: " + std::to_string(hold_ms) + "}]}";
+  }
+  std::string one_area(int hold_ms) { return plan("south", hold_ms, "{area: 17, from: 'old', to: 'new'}"); }
+  // A command, as staff give it, by the files of one manager.
+  Said fleet(const std::string& word, const std::string& what = "", std::size_t by = 0) {
+    Manager& manager = *managers[by];
+    const std::string config = manager.folder.path() + "/staff.json", operators = config + ".operators";
+    std::ofstream(config) << manager.text;
+    std::ofstream(operators) << R"({fleet: {on: true, areas: [17, 18], store: [")"
+                             << to_string(server.endpoint()) << R"("]}})";
+    std::vector<std::string> words = {"fleet", word, "-c", config, "-o", operators};
+    if (word == "propose") std::ofstream(words.emplace_back(config + ".plan")) << what;
+    if (word == "halt" || word == "resume") words.push_back(what);
+    return command(words);
+  }
+  void propose(const std::string& text) {
+    const Said said = fleet("propose", text);
+    INFO(said.words);
+    REQUIRE(said.status == 0);
+    wait_for_step(1);
+    begun = net::now();  // every edge has acknowledged that it is at its old side
+  }
+  void wait_for_step(std::size_t step) {
+    server.wait([&](StoreModel& model) {
+      const auto now_there = record(model);
+      return now_there.plans.size() == 1 && now_there.plans[0].steps[0] >= step;
+    });
+  }
+  void wait_for_end(const std::string& name = "south") {
+    server.wait([&](StoreModel& model) { return record(model).ended.count(name) == 1; });
+  }
+  std::string ended(const std::string& name = "south") {
+    return server.with([&](StoreModel& model) { return record(model).ended[name]; });
+  }
+  // No load came twice, and none came to the old side after one had come to the new one.
+  void check_loads() {
+    auto old_side = engine.seen().begin_with(kLoadIds);
+    auto new_side = new_engine.seen().begin_with(kLoadIds);
+    std::set<std::string> ids;
+    for (const auto* side : {&old_side, &new_side})
+      for (const auto& [time, id] : *side) CHECK(ids.insert(id).second);
+    // an area that no plan has touched is anywhere
+    std::erase_if(new_side, [&](const auto& one) { return one.first < begun; });
+    REQUIRE_FALSE(old_side.empty());
+    REQUIRE_FALSE(new_side.empty());
+    CHECK(old_side.back().first < new_side.front().first);
+  }
+  Time begun{};
+  std::size_t other_than(std::size_t i) { return (i + 1) % 3; }
+};
+
+TEST_CASE_FIXTURE(Moving, "an area moves under load: nothing is lost, no load runs twice or on two sides") {
+  Clients clients(program(0).serves_on()), more(program(1).serves_on(), 4);
+  clients.loads.wait_for(10);
+  propose(one_area(300));
+  wait_for_end();
+  CHECK(ended() == "done");
+  const long came = static_cast<long>(engine.seen().begin_with(kLoadIds).size());
+  more.loads.wait_for(10), clients.looks.wait_for(10);
+  clients.finish(), more.finish();
+  CHECK(static_cast<long>(engine.seen().begin_with(kLoadIds).size()) == came);
+  check_loads();
+  for (const auto* c : {&clients, &more})
+    for (const auto* crowd : {&c->looks, &c->loads, &c->others}) CHECK(crowd->lost == 0);
+  CHECK(clients.others.served == clients.others.answered);  // what no plan touches
+  const Said status = fleet("status");
+  CHECK(status.status == 0);
+  CHECK(status.words.find("plan south: done") != std::string::npos);
+  CHECK(fleet("halt", "south").status == 1);  // it is over
+}
+
+TEST_CASE_FIXTURE(Moving, "the owner is killed in mid-stage and comes back: another one goes on from there") {
+  const auto first = owner();
+  Clients clients(program(other_than(first)).serves_on());
+  clients.loads.wait_for(10);
+  propose(one_area(1000));
+  const auto old = term();
+  program(first).tell(SIGKILL);
+  program(first).ended();
+  managers[first]->start();
+  wait_for_next(old);
+  wait_for_end();
+  CHECK(ended() == "done");
+  clients.loads.wait_for(10);
+  clients.finish();
+  check_loads();
+  CHECK(clients.loads.lost == 0);
+}
+
+TEST_CASE_FIXTURE(Moving,
+                  "an edge stopped in mid-plan is waited out, named by status, and sends nothing late") {
+  const auto edge = other_than(owner());
+  Clients clients(program(edge).serves_on()), more(program(owner()).serves_on(), 4);
+  clients.loads.wait_for(10), more.loads.wait_for(10);
+  propose(one_area(1000));
+  program(edge).tell(SIGSTOP);
+  const std::string name = "waits for edge n" + std::to_string(edge);
+  while (fleet("status").words.find(name) == std::string::npos) std::this_thread::yield();
+  wait_for_end();
+  more.loads.wait_for(10);  // on the new side
+  program(edge).tell(SIGCONT);
+  clients.loads.wait_for(10);
+  clients.finish(), more.finish();
+  check_loads();
+  CHECK(clients.loads.lost == 0);
+}
+
+TEST_CASE_FIXTURE(Moving,
+                  "halted by staff, the owner killed, resumed: the next owner halts and resumes as told") {
+  const auto first = owner();
+  propose(one_area(500));
+  CHECK(fleet("halt", "south").status == 0);
+  server.wait([&](StoreModel& model) { return record(model).plans[0].halted; });
+  const auto stands = server.with([&](StoreModel& model) { return record(model).plans[0].steps; });
+  const auto old = term();
+  program(first).tell(SIGKILL);
+  program(first).ended();
+  managers[first]->start();
+  wait_for_next(old);
+  server.wait([&](StoreModel& model) { return record(model).term > old; });  // it has let the newcomer in
+  CHECK(server.with([&](StoreModel& model) { return record(model).plans[0].steps; }) == stands);
+  CHECK(fleet("status").words.find("plan south: halted: staff asked for it") != std::string::npos);
+  CHECK(fleet("resume", "south").status == 0);
+  wait_for_end();
+  CHECK(ended() == "done");
+}
+
+TEST_CASE_FIXTURE(Moving,
+                  "the store away through a stage: moving areas close, all else is served, then it goes on") {
+  Clients clients(program(0).serves_on());
+  clients.loads.wait_for(10);
+  propose(one_area(500));
+  for (std::size_t i = 0; i < 3; ++i) link(i).there(Link::Way::lose);
+  const auto reach = [&](auto&& condition) {
+    while (!condition()) std::this_thread::yield();
+  };
+  // closed: answered, and not served
+  reach([&] {
+    const long served = clients.loads.served, looks = clients.looks.served;
+    clients.loads.wait_for(6), clients.looks.wait_for(6);
+    return clients.loads.served == served && clients.looks.served == looks;
+  });
+  const long others = clients.others.served;
+  clients.others.wait_for(10);
+  CHECK(clients.others.served >= others + 10);
+  for (std::size_t i = 0; i < 3; ++i) link(i).there(Link::Way::pass);
+  wait_for_end();
+  CHECK(ended() == "done");
+  clients.loads.wait_for(10);
+  clients.finish();
+  check_loads();
+  CHECK(clients.loads.lost == 0);
+}
+
+TEST_CASE_FIXTURE(Moving, "a bad plan gets one message with every problem's path, and nothing begins") {
+  const Said bad = fleet("propose", plan("south", 1,
+                                         "{area: 17, from: 'old', to: 'nowhere'}, "
+                                         "{area: 17, from: 'old', to: 'new', after: [99]}"));
+  CHECK(bad.status == 1);
+  for (const char* what :
+       {"moves[0].to: no such origin", "moves[1].area: it moves twice", "moves[1].after[0]"})
+    CHECK(bad.words.find(what) != std::string::npos);
+  const Said foreign = fleet("propose", plan("south", 1, "{area: 4, from: 'old', to: 'new'}"));
+  CHECK(foreign.status == 1);
+  CHECK(foreign.words.find("moves[0].area: not among fleet.areas") != std::string::npos);
+  CHECK(fleet("propose", "{name: ").status == 1);
+  CHECK(fleet("resume", "south").status == 1);
+  CHECK(server.with([&](StoreModel& model) { return record(model).plans.empty(); }));
+}
+
+}  // namespace
+}  // namespace yokestream::test
--- a/tests/processes/program.cpp
+++ b/tests/processes/program.cpp
@@ -103,6 +103,19 @@
   return status_;
 }
 
+Said command(const std::vector<std::string>& words) {
+  std::string line = YOKESTREAM_PROGRAM;
+  for (const auto& word : words) line += " '" + word + "'";
+  Said out;
+  std::FILE* from = ::popen((line + " 2>&1").c_str(), "r");
+  if (!from) throw std::runtime_error("no pipe");
+  char bytes[4096];
+  while (const auto size = std::fread(bytes, 1, sizeof bytes, from)) out.words.append(bytes, size);
+  const int status = ::pclose(from);
+  out.status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  return out;
+}
+
 std::string ask(const config::Endpoint& door, const std::string& line) {
   net::Socket socket;
   std::string why, answer;
--- a/tests/processes/program.h
+++ b/tests/processes/program.h
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "config/members.h"
 #include "net/socket.h"
@@ -54,6 +55,13 @@
   int status_ = 0;
 };
 
+struct Said {
+  int status = 0;
+  std::string words;  // all that it wrote
+};
+// A command of the program, to its end.
+Said command(const std::vector<std::string>& words);
+
 // One call at an operators' door: the whole answer. Empty: none came.
 std::string ask(const config::Endpoint& door, const std::string& line);
 // Asks until the answer begins so.
--- a/tests/processes/three_managers.h
+++ b/tests/processes/three_managers.h
@@ -39,8 +39,15 @@
 }
 
 struct Manager {
-  Manager(const config::Endpoint& store, const config::Endpoint& engine, const std::string& name)
-      : link(store), text(config_text("127.0.0.1:0", to_string(engine)).replace(9, 1, name)) {
+  // `more`: of the operator file's section; `second`: another engine, e2.
+  Manager(const config::Endpoint& store, const config::Endpoint& engine, const std::string& name,
+          const std::string& more_told = "", const config::Endpoint* second = nullptr)
+      : link(store),
+        text(config_text("127.0.0.1:0", to_string(engine)).replace(9, 1, name)),
+        more(more_told) {
+    if (second)
+      text.insert(text.find("{\"uid\":\"e1\""), R"({"uid":"e2","endpoint":")" + to_string(*second) +
+                                                    R"(","az":"z","model":"m","state":"up"},)");
     text.insert(text.find("\"Classes\""), "\"GroupSize\":3,");
     start();
   }
@@ -49,18 +56,18 @@
     program = std::make_unique<Program>(folder, text, -1, std::map<std::string, std::string>{},
                                         R"({fleet: {on: true, lease_ms: 2000, ask_ms: 300, look_ms: 300,
                                             progress_ms: 4000, spread_ms: 500, store: [")" +
-                                            to_string(link.endpoint()) + R"("]}})");
+                                            to_string(link.endpoint()) + "\"]" + more + "}}");
   }
   Folder folder;
   Link link;  // its way to the store
-  std::string text;
+  std::string text, more;
   std::unique_ptr<Program> program;
 };
 
 struct ThreeManagers {
-  ThreeManagers() {
+  explicit ThreeManagers(const std::string& more = "", const config::Endpoint* second = nullptr) {
     for (const char* name : {"n0", "n1", "n2"})
-      managers.push_back(std::make_unique<Manager>(server.endpoint(), engine.at(), name));
+      managers.push_back(std::make_unique<Manager>(server.endpoint(), engine.at(), name, more, second));
     wait_for_all(3);
   }
   // What stands in the store, replayed against the rules.
