--- a/src/migration/mover.cpp
+++ b/src/migration/mover.cpp
@@ -13,18 +13,15 @@
 }  // namespace
 
 bool Mover::see(std::string_view state, const std::string& session) {
-  session_ = session;
-  if (state.empty()) {
-    record_ = {};
-    return true;
-  }
-  auto record = decode_record(state);
-  if (!record) return false;
-  record_ = std::move(*record);
-  return true;
+  auto record = state.empty() ? std::optional(Record{}) : decode_record(state);
+  const bool good = record.has_value();
+  if (good) record_ = std::move(*record);
+  session_ = good ? session : "";  // by a record that makes no sense nothing is sent
+  table_ = own_table();
+  return good;
 }
 
-std::optional<routes::Table> Mover::table() const {
+std::optional<routes::Table> Mover::own_table() const {
   auto table = table_of(record_, session_);
   if (!table && (without_ & kRoster) && record_.epoch >= 0) {
     Record open = record_;
--- a/src/migration/mover.h
+++ b/src/migration/mover.h
@@ -42,7 +42,7 @@
 
   const Record& record() const { return record_; }
   // What this process may act on; nullopt: nothing, its areas are closed.
-  std::optional<routes::Table> table() const;
+  const std::optional<routes::Table>& table() const { return table_; }
   // This session's outcomes by area and side, as the core counted them, by plan: what it tells.
   std::map<std::string, std::vector<std::int64_t>> tallies(const Tallies& by_area) const;
 
@@ -52,6 +52,7 @@
     Time since{};
     std::map<std::string, std::vector<std::int64_t>> from;  // tallies by session as it began
   };
+  std::optional<routes::Table> own_table() const;
   bool settled(const duty::Looked& looked);
   void take_asked(const duty::Looked& looked, Record& next, Draft& draft) const;
   void step(const duty::Looked& looked, Running& running);
@@ -63,6 +64,7 @@
   const unsigned without_;
   Record record_;
   std::string session_;
+  std::optional<routes::Table> table_;  // of the two above
   bool busy_ = false;
   std::map<std::string, Time> gone_;   // of the roster: since when it is seen no more
   std::map<std::string, Span> spans_;  // by plan
--- a/src/migration/record.cpp
+++ b/src/migration/record.cpp
@@ -121,6 +121,11 @@
     out.origins.push_back(home.origin);
   }
   for (const Running& running : record.plans) {
+    std::vector<std::uint32_t> moved;  // by stage
+    for (const Stage& stage : running.plan.stages)
+      moved.push_back(among_first(record, session, running.plan.name, stage.edges)
+                          ? static_cast<std::uint32_t>(std::lround(stage.traffic * routes::Rule::kAll))
+                          : 0);
     std::map<std::string, std::size_t> at;
     for (const auto& [name, origin] : running.plan.origins)
       at[name] = out.origins.size(), out.origins.push_back(origin);
@@ -132,9 +137,7 @@
         rule.moved = routes::Rule::kAll;
         rule.loads = step == running.done() ? routes::Rule::Loads::to : routes::Rule::Loads::nowhere;
       } else if (step > 0) {
-        const Stage& stage = running.plan.stages[step - 1];
-        if (among_first(record, session, running.plan.name, stage.edges))
-          rule.moved = static_cast<std::uint32_t>(std::lround(stage.traffic * routes::Rule::kAll));
+        rule.moved = moved[step - 1];
       }
       out.rules[move.area] = rule;
     }
--- a/src/net/fleet_keeper.cpp
+++ b/src/net/fleet_keeper.cpp
@@ -125,12 +125,12 @@
 
 // The grant is this session's: a core that hears of no renewal closes the areas by itself.
 void FleetKeeper::tell_routes() {
-  auto table = mover_->table();
+  const auto& table = mover_->table();
   const std::int64_t epoch = table ? table->epoch : -1;
   const Time until = fleet_.until();
   if (epoch == told_epoch_ && until == told_until_) return;
   told_epoch_ = epoch, told_until_ = until;
-  inbox_.post(RoutesTold{std::move(table), until});
+  inbox_.post(RoutesTold{table, until});
 }
 
 void FleetKeeper::tell_log() {
--- a/src/standin/duty_world.cpp
+++ b/src/standin/duty_world.cpp
@@ -133,7 +133,7 @@
   later(now_ + std::chrono::duration_cast<Duration>(kCoreLooks * draw()), [this, at, life = p.life] {
     reach(at, life, [this, at] {
       Process& process = *processes_[at];
-      process.edge->take(*process.mover, process.fleet->until());
+      process.edge->take(*process.mover, process.fleet->until(), now_, figures_.edges);
     });
   });
 }
--- a/src/standin/edge.cpp
+++ b/src/standin/edge.cpp
@@ -54,15 +54,22 @@
 }
 
 bool Edge::behind(const migration::Mover& mover, Time until) const {
-  const auto table = mover.table();
+  const auto& table = mover.table();
   return granted_ != table.has_value() || until_ != until || (table && table->epoch != routes_.epoch());
 }
 
-void Edge::take(const migration::Mover& mover, Time until) {
-  auto table = mover.table();
+void Edge::take(const migration::Mover& mover, Time until, Time now, EdgeFigures& figures) {
+  const auto& table = mover.table();
+  if (!table) closed_since_.clear();  // closed for want of a grant: that is counted as refused
+  for (const auto& [area, rule] : table ? table->rules : std::map<TableGroupId, routes::Rule>{}) {
+    if (rule.loads == routes::Rule::Loads::nowhere)
+      closed_since_.emplace(area, now);
+    else if (const auto since = closed_since_.extract(area); !since.empty())
+      figures.closed.push_back(now - since.mapped());
+  }
   granted_ = table.has_value();
   until_ = until;
-  if (table && table->epoch != routes_.epoch()) routes_.swap(std::move(*table));
+  if (table && table->epoch != routes_.epoch()) routes_.swap(*table);
   routes_.extend(granted_ && until > Time::min() + kCoreSpare ? until - kCoreSpare : Time::min());
 }
 
--- a/src/standin/edge.h
+++ b/src/standin/edge.h
@@ -26,8 +26,8 @@
 };
 struct EdgeFigures {
   std::uint64_t sent = 0, refused = 0;  // refused: their area was closed
-  std::map<TableGroupId, Time> closed_since;
-  Duration longest_closed{};  // without an open side for loads of one area at one edge, while it was granted
+  std::vector<Duration>
+      closed;  // spans without an open side for loads of an area, at an edge that kept its grant
 };
 
 // Attempts at engines, of all processes. A dead process's go on to their end.
@@ -52,7 +52,7 @@
   Edge(const EdgeSettings& settings, std::string name);
   // Whether the core acts on something else than what it may.
   bool behind(const migration::Mover& mover, Time until) const;
-  void take(const migration::Mover& mover, Time until);
+  void take(const migration::Mover& mover, Time until, Time now, EdgeFigures& figures);
   // Empty, or the rule that was broken.
   std::string send(Time now, Time local, std::mt19937_64& random, MoveChecker& checker, EdgeFigures& figures);
   std::int64_t acted(Time now);  // the epoch that it acts on wholly; -1: none
@@ -73,6 +73,7 @@
   std::uint64_t asked_ = 0;
   std::vector<Out> out_;
   migration::Tallies tallies_;
+  std::map<TableGroupId, Time> closed_since_;
 };
 
 }  // namespace yokestream::standin
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -7,6 +7,7 @@
 #include "standin/door_measure.h"
 #include "standin/duty_measure.h"
 #include "standin/fleet_situations.h"
+#include "standin/migration_measure.h"
 #include "standin/pool.h"
 #include "standin/scenarios.h"
 
@@ -81,6 +82,11 @@
   duty_command->add_option("--seed", seed, "for all random numbers");
   duty_command->add_option("--seconds", seconds, "not used: the clock is virtual");
   duty_command->callback([&] { status = standin::measure_duty(seed) ? 0 : 1; });
+  auto* migration_command =
+      app.add_subcommand("migration", "Measure staged migrations of a fleet on the virtual clock");
+  migration_command->add_option("--seed", seed, "for all random numbers");
+  migration_command->add_option("--seconds", seconds, "not used: the clock is virtual");
+  migration_command->callback([&] { status = standin::measure_migration(seed) ? 0 : 1; });
   auto* demo_command =
       app.add_subcommand("demo", "Show the manager serving, with engines and clients of ours");
   demo_command->add_option("--program", program, "the yokestream program")->required();
