Read again: one JSON reader, one class lookup, each duty's record read once

Found by reading the whole change; behaviour stays, but that a fleet command asks the store for less.

- src/store and the stand-in store parsed and wrote JSON for themselves: base::read_json and write_json serve them now, each with the bounds that it had (the stand-in takes 16 levels of its own requests).
- Fleet::see_duties() had a duty decode its record and compile its table at every message about any state, such as a new table of shares: now when the record's revision or the session is another one.
- learnt::encode() copied what it was handed; HandOver now gives it away.
- A const_cast in the tests of duties, and the end of two process tests written twice, are gone.
- src/cli/fleet.cpp's comment promised more than Desk does: a write whose answer was lost is found when the command is given again, not read back by itself.

--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -3,11 +3,6 @@
 #include <memory>
 
 namespace yokestream::base {
-namespace {
-
-constexpr int kDeepest = 16;
-
-}  // namespace
 
 std::string write_json(const Json::Value& value) {
   Json::StreamWriterBuilder builder;
@@ -15,11 +10,11 @@
   return Json::writeString(builder, value);
 }
 
-std::optional<Json::Value> read_json(std::string_view text, std::size_t most) try {
+std::optional<Json::Value> read_json(std::string_view text, std::size_t most, int deepest) try {
   if (text.size() > most) return std::nullopt;
   Json::CharReaderBuilder builder;
   builder["collectComments"] = false;
-  builder["stackLimit"] = kDeepest;
+  builder["stackLimit"] = deepest;
   const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
   Json::Value value;
   std::string problems;
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -11,7 +11,7 @@
 namespace yokestream::base {
 
 std::string write_json(const Json::Value& value);
-// nullopt: no JSON, more than `most` bytes, or deeper than any record of ours.
-std::optional<Json::Value> read_json(std::string_view text, std::size_t most);
+// nullopt: no JSON, more than `most` bytes, or nested deeper than `deepest`.
+std::optional<Json::Value> read_json(std::string_view text, std::size_t most, int deepest = 16);
 
 }  // namespace yokestream::base
--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -15,7 +15,7 @@
 
 constexpr auto kAskWithin = std::chrono::seconds(5);
 
-// The store, as one command meets it: every address is tried, and what may have counted is read back.
+// The store, as one command meets it: every address is tried.
 class Desk {
  public:
   explicit Desk(const config::Config& config) : config_(config), names_(config.fleet.prefix) {
@@ -41,7 +41,8 @@
       out[kv.key.substr(prefix.size())] = kv.value;
     return out;
   }
-  // Written once, however often it is tried: one that was lost and counted all the same is found there.
+  // Written once, however often the command is given: one whose answer was lost is found there, as long as
+  // the owner has not answered it.
   bool put_new(const std::string& what, const std::string& text) {
     const std::string key = names_.asks() + what;
     const auto done = ask(store::Txn{{{store::Compare::What::create, key, 0, {}}},
@@ -51,11 +52,11 @@
            (!done.ranges.empty() && !done.ranges[0].all.empty() && done.ranges[0].all[0].value == text);
   }
   migration::Record record() {
-    const auto states = all(names_.states());
-    const auto it = states.find(migration::Mover::kName);
-    if (it == states.end()) return {};
-    auto record = migration::decode_record(it->second);
-    if (!record) throw config::ConfigError(names_.state(migration::Mover::kName), "it can't be read");
+    const std::string key = names_.state(migration::Mover::kName);
+    const auto done = ask(store::Range{key, {}, 0});
+    if (done.ranges.empty() || done.ranges[0].all.empty()) return {};
+    auto record = migration::decode_record(done.ranges[0].all[0].value);
+    if (!record) throw config::ConfigError(key, "it can't be read");
     return *record;
   }
 
@@ -80,7 +81,7 @@
     return 1;
   }
   Desk desk(both.config);
-  if (!desk.put_new("plan/" + plan->name, base::write_json(migration::to_json(*plan)))) {
+  if (!desk.put_new(migration::kPlanAsked + plan->name, base::write_json(migration::to_json(*plan)))) {
     std::cerr << "another plan " << plan->name << " waits for an owner's answer" << std::endl;
     return 1;
   }
@@ -98,7 +99,7 @@
     std::cerr << "no plan " << name << " is under way" << std::endl;
     return 1;
   }
-  if (!desk.put_new("wish/" + name, word)) {
+  if (!desk.put_new(migration::kWishAsked + name, word)) {
     std::cerr << "another wish for " << name << " waits for an owner's answer" << std::endl;
     return 1;
   }
--- a/src/duty/election.cpp
+++ b/src/duty/election.cpp
@@ -5,12 +5,6 @@
 #include "duty/names.h"
 
 namespace yokestream::duty {
-namespace {
-
-constexpr Duration kAgain = std::chrono::milliseconds(250);  // after a call that brought nothing
-
-}  // namespace
-
 void Election::stand(store::LeaseId lease, const std::string& name) {
   if (lease == lease_) return;
   lease_ = lease, name_ = name, own_ = line_ + session_name(lease);
--- a/src/duty/fleet.cpp
+++ b/src/duty/fleet.cpp
@@ -21,7 +21,7 @@
       election_(settings_, names_.line(kDuty), names_.beat(kDuty)),
       view_(names_.states()),
       fact_{name, version, 0, {}, {}} {
-  for (Duty* duty : duties) duties_.push_back({duty, 0, {}});
+  for (Duty* duty : duties) duties_.push_back({duty, -1, {}, {}});
 }
 
 // ---- asking
--- a/src/duty/fleet.h
+++ b/src/duty/fleet.h
@@ -91,7 +91,8 @@
   Fact fact_;
   struct Held {  // one of the duties
     Duty* duty;
-    store::Revision mod = 0;  // of its state as last seen; 0: there is none
+    store::Revision mod = -1;  // of its state as it saw it last; 0: there was none, -1: it saw nothing
+    std::string session;       // and whose it saw
     std::optional<Duty::Draft> draft;
   };
   std::vector<Held> duties_;
--- a/src/duty/fleet_replies.cpp
+++ b/src/duty/fleet_replies.cpp
@@ -6,7 +6,6 @@
 namespace yokestream::duty {
 namespace {
 
-constexpr Duration kAgain = std::chrono::milliseconds(250);       // after a call that brought nothing
 constexpr Duration kLookAgain = std::chrono::milliseconds(1000);  // while acknowledgements are missing
 
 }  // namespace
@@ -111,15 +110,16 @@
   if (draft_) draft_->term = election_.term();
 }
 
-// The duties' states, as the view has them.
+// The duties' states, as the view has them; each once, as most news are of another key.
 void Fleet::see_duties() {
   const std::string session = of_ == store::LeaseId::none ? "" : session_name(of_);
   for (Held& held : duties_) {
     const std::string key = names_.state(held.duty->name());
     const auto* state = view_.find(key);
     const store::Revision mod = state ? state->mod : 0;
+    if (mod == held.mod && session == held.session) continue;
     if (mod != held.mod) held.draft.reset();  // it was made from another one
-    held.mod = mod;
+    held.mod = mod, held.session = session;
     if (!held.duty->see(state ? state->value : "", session))
       trouble_ = "the store's record " + key + " can't be read";
   }
@@ -151,7 +151,7 @@
   of_ = session_.lease();
   if (granted_ > 0) base_ = std::min(granted_, shares_.even());
   granted_ = 0, epoch_ = -1;
-  for (const Held& held : duties_) held.duty->see("", "");
+  for (Held& held : duties_) held.duty->see("", ""), held.mod = -1;
   if (view_.known() && trouble_.empty()) see_duties();
   fact_.seen.clear(), told_.reset(), told_mod_ = 0;
   drop_drafts(), beat_ = false;
--- a/src/duty/session.cpp
+++ b/src/duty/session.cpp
@@ -5,8 +5,6 @@
 namespace yokestream::duty {
 namespace {
 
-constexpr Duration kAgain = std::chrono::milliseconds(250);  // after a call that brought nothing
-
 Duration whole_seconds(Duration d) { return std::chrono::ceil<std::chrono::seconds>(d); }
 
 }  // namespace
--- a/src/duty/settings.h
+++ b/src/duty/settings.h
@@ -12,6 +12,8 @@
 using lynxstand::Duration;
 using lynxstand::Time;
 
+inline constexpr Duration kAgain = std::chrono::milliseconds(250);  // after a call that brought nothing
+
 struct Settings {
   bool on = false;
   std::vector<config::Endpoint> store;           // addresses of its JSON gateway; one at least where it is on
--- a/src/learnt/codec.cpp
+++ b/src/learnt/codec.cpp
@@ -123,8 +123,7 @@
 
 }  // namespace
 
-std::string encode(const Learnt& learnt, const config::RealSettings& names, lynxstand::Time now) {
-  Learnt kept = learnt;
+std::string encode(Learnt kept, const config::RealSettings& names, lynxstand::Time now) {
   if (kept.engines.size() > kMostEngines) kept.engines.resize(kMostEngines);
   std::erase_if(kept.engines, [](const auto& e) { return e.id.name.size() > kLongestName; });
   Writer writer{std::string(kForm)};
--- a/src/learnt/codec.h
+++ b/src/learnt/codec.h
@@ -23,7 +23,7 @@
 };
 
 // `now` is of a clock that all processes of the machine share.
-std::string encode(const lynxstand::Learnt& learnt, const config::RealSettings& names, lynxstand::Time now);
+std::string encode(lynxstand::Learnt learnt, const config::RealSettings& names, lynxstand::Time now);
 // Else: what is wrong with the bytes.
 std::variant<Inherited, std::string> decode(std::string_view bytes, const config::RealSettings& names,
                                             lynxstand::Time now);
--- a/src/manager/leaving.cpp
+++ b/src/manager/leaving.cpp
@@ -23,7 +23,7 @@
   while (!calls_.empty()) {
     const QueryId query = calls_.begin()->second;
     const Request& request = requests_.at(query);
-    const auto& cls = config_.settings.classes[static_cast<std::size_t>(request.told.cls)];
+    const auto& cls = class_of(request.told);
     if (request.attempts == 0 || cls.repeatable == lynxstand::Repeatable::always)
       refuse(request.told, Duration{});
     else
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -173,6 +173,9 @@
   void note_queues();
   std::uint32_t band_of(lynxstand::QueryId query, const Request& request, const std::string& engine);
 
+  const lynxstand::ClassSettings& class_of(const Arrived& told) const {
+    return config_.settings.classes[static_cast<std::size_t>(told.cls)];
+  }
   void step(Time now);
   void tell(lynxstand::Event event) { told_.push_back(std::move(event)); }
   void run_controller();
--- a/src/manager/routing.cpp
+++ b/src/manager/routing.cpp
@@ -14,7 +14,7 @@
 using lynxstand::EngineSet;
 
 routes::Route Manager::route_of(const Arrived& told) const {
-  const auto& cls = config_.settings.classes[static_cast<std::size_t>(told.cls)];
+  const auto& cls = class_of(told);
   return routes_.find(now_, told.tables, cls.repeatable == lynxstand::Repeatable::always, told.request_id);
 }
 
@@ -65,7 +65,7 @@
 
 void Manager::tally(const Request& request, bool served) {
   if (!request.eligible) return;  // no rule, or the module was not asked
-  const auto& cls = config_.settings.classes[static_cast<std::size_t>(request.told.cls)];
+  const auto& cls = class_of(request.told);
   const routes::Route route = route_of(request.told);
   if (!route.among || cls.repeatable != lynxstand::Repeatable::always) return;
   auto& [left, taken] = tallies_[request.told.tables];
--- a/src/manager/station.cpp
+++ b/src/manager/station.cpp
@@ -22,7 +22,7 @@
 
 // False: it was turned away, and has its answer.
 bool Manager::knock(const Arrived& arrived, QueryId query, door::Verdict* verdict) {
-  const auto& cls = config_.settings.classes[static_cast<std::size_t>(arrived.cls)];
+  const auto& cls = class_of(arrived);
   door::Arrival knock;
   knock.query = query;
   knock.member = static_cast<std::size_t>(arrived.tenant);
@@ -51,7 +51,7 @@
 }
 
 queues::Arrival Manager::queue_arrival(QueryId query, const Arrived& told, double cost) const {
-  const auto& cls = config_.settings.classes[static_cast<std::size_t>(told.cls)];
+  const auto& cls = class_of(told);
   const double estimate = cost > 0 ? cost : told.work ? seconds_of(*told.work) : 0;
   queues::Arrival arrival;
   arrival.query = query;
--- a/src/migration/mover.cpp
+++ b/src/migration/mover.cpp
@@ -5,9 +5,6 @@
 namespace yokestream::migration {
 namespace {
 
-constexpr const char* kPlanAsked = "plan/";
-constexpr const char* kWishAsked = "wish/";
-
 bool begins(const std::string& text, const std::string& with) { return text.rfind(with, 0) == 0; }
 
 }  // namespace
--- a/src/migration/record.h
+++ b/src/migration/record.h
@@ -44,6 +44,11 @@
 
 inline constexpr std::size_t kMostPlans = 8, kMostEnded = 16;
 
+// What staff ask the owner for, as its key's end (duty/names.h): a plan's text, or `halt` or `resume` for
+// one.
+inline constexpr const char* kPlanAsked = "plan/";
+inline constexpr const char* kWishAsked = "wish/";
+
 std::string encode(const Record& record);
 std::optional<Record> decode_record(std::string_view text);  // nullopt: it makes no sense
 
--- a/src/net/hand_over.cpp
+++ b/src/net/hand_over.cpp
@@ -33,7 +33,7 @@
 HandOver::HandOver(const std::string& folder, int place, const config::RealSettings& names)
     : path_(folder + kFile), own_(path_ + "-" + std::to_string(place)), names_(names), items_(1) {
   thread_ = Thread("hand-over", kSmallStack, [this] {
-    while (const auto item = items_.take()) write(*item);
+    while (auto item = items_.take()) write(std::move(*item));
   });
 }
 
@@ -42,8 +42,8 @@
 void HandOver::offer(lynxstand::Learnt learnt) { items_.add(Item{std::move(learnt), now()}, 1); }
 
 // One that can't be written is left: the next one will do.
-void HandOver::write(const Item& item) const {
-  const std::string bytes = learnt::encode(item.learnt, names_, item.at);
+void HandOver::write(Item item) const {
+  const std::string bytes = learnt::encode(std::move(item.learnt), names_, item.at);
   std::ofstream out(own_, std::ios::binary | std::ios::trunc);
   out.write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
   out.close();
--- a/src/net/hand_over.h
+++ b/src/net/hand_over.h
@@ -33,7 +33,7 @@
     lynxstand::Learnt learnt;
     Time at{};
   };
-  void write(const Item& item) const;
+  void write(Item item) const;
 
   const std::string path_, own_;
   const config::RealSettings& names_;
--- a/src/routes/routes.cpp
+++ b/src/routes/routes.cpp
@@ -24,10 +24,11 @@
   std::sort(movable_.begin(), movable_.end());
 }
 
-void Routes::swap(Table table) {
-  table_ = std::move(table);
-  rules_.assign(table_.rules.begin(), table_.rules.end());
-  sets_.assign(table_.origins.size(), {});
+void Routes::swap(const Table& table) {
+  epoch_ = table.epoch;
+  origins_ = table.origins;
+  rules_.assign(table.rules.begin(), table.rules.end());
+  sets_.assign(origins_.size(), {});
   for (const auto& [uid, engine] : engines_) place(engine);
 }
 
@@ -49,8 +50,7 @@
 
 void Routes::place(const Engine& engine) {
   if (engine.slot >= lynxstand::kMostSlots) return;
-  for (std::size_t i = 0; i < sets_.size(); ++i)
-    sets_[i].set(engine.slot, table_.origins[i].takes(engine.member));
+  for (std::size_t i = 0; i < sets_.size(); ++i) sets_[i].set(engine.slot, origins_[i].takes(engine.member));
 }
 
 std::uint32_t Routes::slot(const std::string& uid) const {
@@ -81,7 +81,7 @@
   const bool ruled = it != rules_.end() && it->first == area;
   Route route;
   route.touched = true;
-  route.closed = now >= until_ || table_.epoch < 0;
+  route.closed = now >= until_ || epoch_ < 0;
   if (!ruled) return route;  // granted, and no duty has said anything of it: any engine
   const Rule& rule = it->second;
   if (!repeatable) {
--- a/src/routes/routes.h
+++ b/src/routes/routes.h
@@ -63,7 +63,7 @@
  public:
   // `movable`: the areas that a duty may touch here. They are closed until a table has come.
   void expect(const std::vector<TableGroupId>& movable);
-  void swap(Table table);                      // whole
+  void swap(const Table& table);               // whole
   void extend(Time until) { until_ = until; }  // the grant; Time::min(): none
 
   // Takes in what the list tells of an engine, and says by which slot sets name it.
@@ -72,7 +72,7 @@
   void keep(const std::function<bool(const std::string& uid)>& known);  // and forgets all others
 
   Route find(Time now, TableGroupId area, bool repeatable, std::string_view request_id) const;
-  std::int64_t epoch() const { return table_.epoch; }
+  std::int64_t epoch() const { return epoch_; }
   Time until() const { return until_; }
   bool on() const { return !movable_.empty(); }
 
@@ -85,7 +85,8 @@
   void vacate(const Engine& engine);
 
   std::vector<TableGroupId> movable_;  // in order
-  Table table_;
+  std::int64_t epoch_ = -1;
+  std::vector<Origin> origins_;
   std::vector<std::pair<TableGroupId, Rule>> rules_;  // in order
   std::vector<EngineSet> sets_;                       // by origin
   std::map<std::string, Engine> engines_;
--- a/src/standin/duty_troubles.cpp
+++ b/src/standin/duty_troubles.cpp
@@ -72,16 +72,15 @@
 
 void DutyWorld::propose(const migration::Plan& plan) {
   moves_.plan(plan);
-  ask("plan/" + plan.name, base::write_json(migration::to_json(plan)));
+  ask(migration::kPlanAsked + plan.name, base::write_json(migration::to_json(plan)));
 }
 
 // ---- what is seen
 
-const migration::Record& DutyWorld::migrations() {
+migration::Record DutyWorld::migrations() const {
   const auto all = store_.range({duty::Names(settings_.duty.prefix).state(migration::Mover::kName), {}, 0});
-  record_ = all.empty() ? migration::Record{}
-                        : migration::decode_record(all.front().value).value_or(migration::Record{});
-  return record_;
+  return all.empty() ? migration::Record{}
+                     : migration::decode_record(all.front().value).value_or(migration::Record{});
 }
 
 std::optional<std::size_t> DutyWorld::owner() const {
--- a/src/standin/duty_world.h
+++ b/src/standin/duty_world.h
@@ -59,7 +59,7 @@
   void leave(std::size_t process);
   void ask(const std::string& what, const std::string& text);  // staff, of the owner (duty/names.h)
   void propose(const migration::Plan& plan);                   // asks for it, and holds it against its order
-  const migration::Record& migrations();                       // as they stand in the store
+  migration::Record migrations() const;                        // as they stand in the store
   // One of these, or a start, by a number below kTroubles; the last one sets its traffic, too.
   static constexpr unsigned kTroubles = 9;
   void trouble(std::size_t process, std::uint64_t which, double per_s);
@@ -69,6 +69,7 @@
   double part(std::size_t process) const;  // of the whole, in force now; 0: it does not live
   bool lives(std::size_t process) const;
   StoreModel& store() { return store_; }
+  const StoreModel& store() const { return store_; }
   const DutyFigures& figures() const { return figures_; }
   Duration time() const { return now_ - start_; }
 
@@ -107,7 +108,6 @@
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
   DutyChecker checker_;
   MoveChecker moves_;
-  migration::Record record_;
   std::size_t checked_ = 0;  // of the store's history
   std::optional<Time> vacant_since_;
   DutyFigures figures_;
--- a/src/standin/store_json.cpp
+++ b/src/standin/store_json.cpp
@@ -1,28 +1,17 @@
 #include "standin/store_json.h"
 
-#include <json/json.h>
-
-#include <sstream>
 #include <stdexcept>
 
+#include "base/json.h"
 #include "store/wire.h"
 
 namespace yokestream::standin {
 namespace {
 
 Json::Value parse(const std::string& body) {
-  Json::Value value;
-  std::istringstream in(body);
-  Json::CharReaderBuilder builder;
-  std::string problems;
-  if (!Json::parseFromStream(builder, in, &value, &problems) || !value.isObject())
-    throw std::runtime_error("no JSON object");
-  return value;
-}
-std::string write(const Json::Value& value) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, value);
+  const auto value = base::read_json(body, body.size());
+  if (!value || !value->isObject()) throw std::runtime_error("no JSON object");
+  return *value;
 }
 std::string bytes(const Json::Value& v) {
   const auto decoded = store::from_base64(v.asString());
@@ -121,17 +110,17 @@
     out["ID"] = text(static_cast<std::int64_t>(done.lease));
     if (done.ttl_s > 0) out["TTL"] = text(done.ttl_s);
   }
-  if (!std::holds_alternative<store::KeepAlive>(request)) return write(out);
+  if (!std::holds_alternative<store::KeepAlive>(request)) return base::write_json(out);
   Json::Value stream;
   stream["result"] = out;
-  return write(stream) + "\n";
+  return base::write_json(stream) + "\n";
 }
 
 std::string encode_error(const StoreAnswer& answer) {
   Json::Value out;
   out["error"] = out["message"] = answer.message;
   out["code"] = answer.code;
-  return write(out);
+  return base::write_json(out);
 }
 
 std::string encode_watched(const store::Watched& watched) {
@@ -148,7 +137,7 @@
   }
   Json::Value out;
   out["result"] = result;
-  return write(out) + "\n";
+  return base::write_json(out) + "\n";
 }
 
 }  // namespace yokestream::standin
--- a/src/store/wire_in.cpp
+++ b/src/store/wire_in.cpp
@@ -1,9 +1,7 @@
 // The gateway's JSON to replies.
-#include <json/json.h>
-
 #include <charconv>
-#include <memory>
 
+#include "base/json.h"
 #include "store/wire.h"
 
 namespace yokestream::store {
@@ -15,19 +13,9 @@
               kUnimplemented = 12, kUnauthenticated = 16;
 
 std::optional<Json::Value> parse(std::string_view text) {
-  Json::CharReaderBuilder builder;
-  builder["collectComments"] = false;
-  builder["stackLimit"] = 32;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  std::string problems;
-  try {
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, &problems) || !value.isObject())
-      return std::nullopt;
-  } catch (const Json::Exception&) {  // too deep
-    return std::nullopt;
-  }
-  return value;
+  constexpr int kDeepest = 32;
+  auto value = base::read_json(text, text.size(), kDeepest);  // its reader has bounded it
+  return value && value->isObject() ? value : std::nullopt;
 }
 
 // A part that is not what it should be makes the whole message nonsense.
--- a/src/store/wire_out.cpp
+++ b/src/store/wire_out.cpp
@@ -1,8 +1,7 @@
 // Requests to the gateway's JSON.
-#include <json/json.h>
-
 #include <boost/beast/core/detail/base64.hpp>
 
+#include "base/json.h"
 #include "store/wire.h"
 
 namespace yokestream::store {
@@ -64,12 +63,6 @@
   return out;
 }
 
-std::string write(const Json::Value& value) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, value);
-}
-
 }  // namespace
 
 std::string to_base64(std::string_view bytes) {
@@ -99,7 +92,8 @@
 Call encode(const Request& request) {
   constexpr const char* kPaths[] = {"/v3/kv/txn", "/v3/kv/range", "/v3/lease/grant", "/v3/lease/keepalive",
                                     "/v3/lease/revoke"};
-  return {kPaths[request.index()], write(std::visit([](const auto& r) { return to_json(r); }, request)),
+  return {kPaths[request.index()],
+          base::write_json(std::visit([](const auto& r) { return to_json(r); }, request)),
           may_change(request)};
 }
 
@@ -107,7 +101,7 @@
   Json::Value out;
   out["create_request"] = range_of(watch.key, watch.end);
   out["create_request"]["start_revision"] = text_of(watch.from);
-  return {"/v3/watch", write(out), false};
+  return {"/v3/watch", base::write_json(out), false};
 }
 
 }  // namespace yokestream::store
--- a/tests/node/duty_fixture.h
+++ b/tests/node/duty_fixture.h
@@ -27,7 +27,7 @@
   return {prefix, store::after_prefix(prefix), 0};
 }
 inline std::optional<duty::Table> table(const DutyWorld& world) {
-  const auto found = const_cast<DutyWorld&>(world).store().range({"/yokestream/state/shares", {}, 0});
+  const auto found = world.store().range({"/yokestream/state/shares", {}, 0});
   return found.empty() ? std::nullopt : duty::decode_table(found[0].value);
 }
 
--- a/tests/processes/migration_test.cpp
+++ b/tests/processes/migration_test.cpp
@@ -95,6 +95,12 @@
     };
     while (!came()) std::this_thread::yield();
   }
+  void check_end(Clients& clients) {
+    wait_for_new_side();
+    clients.finish();
+    check_loads();
+    CHECK(clients.loads.lost == 0);
+  }
   std::size_t other_than(std::size_t i) { return (i + 1) % 3; }
 };
 
@@ -130,10 +136,7 @@
   wait_for_next(old);
   wait_for_end();
   CHECK(ended() == "done");
-  wait_for_new_side();
-  clients.finish();
-  check_loads();
-  CHECK(clients.loads.lost == 0);
+  check_end(clients);
 }
 
 TEST_CASE_FIXTURE(Moving,
@@ -194,10 +197,7 @@
   for (std::size_t i = 0; i < 3; ++i) link(i).there(Link::Way::pass);
   wait_for_end();
   CHECK(ended() == "done");
-  wait_for_new_side();
-  clients.finish();
-  check_loads();
-  CHECK(clients.loads.lost == 0);
+  check_end(clients);
 }
 
 TEST_CASE_FIXTURE(Moving, "a bad plan gets one message with every problem's path, and nothing begins") {
