--- a/src/duty/fleet_replies.cpp
+++ b/src/duty/fleet_replies.cpp
@@ -1,5 +1,6 @@
 // What comes back from the store, and what follows from it.
 #include <algorithm>
+#include <utility>
 
 #include "duty/fleet.h"
 
@@ -128,16 +129,18 @@
 // The state of the duty, as the view has it. One that can't be read stays as it is: nothing is overwritten.
 void Fleet::see_state() {
   const auto* state = view_.find(names_.state(kDuty));
-  state_mod_ = state ? state->mod : 0;
+  const auto before = std::exchange(state_mod_, state ? state->mod : 0);
   see_duties();
   if (!trouble_.empty()) return begin_again();
   if (!state) return table_.reset();
-  auto table = decode_table(state->value);
-  if (!table) {
-    trouble_ = "the store's record " + names_.state(kDuty) + " can't be read";
-    return begin_again();
+  if (!table_ || state_mod_ != before) {  // most news are of another key
+    auto table = decode_table(state->value);
+    if (!table) {
+      trouble_ = "the store's record " + names_.state(kDuty) + " can't be read";
+      return begin_again();
+    }
+    table_ = std::move(table);
   }
-  table_ = std::move(table);
   // A write that was given up has come after all: what was made from the table before it no longer follows.
   if (draft_ && draft_->epoch != table_->epoch + 1) draft_.reset();
   const auto own = table_->parts.find(session_name(of_));
--- a/src/standin/duty_troubles.cpp
+++ b/src/standin/duty_troubles.cpp
@@ -19,8 +19,10 @@
   p.fleet.reset();  // it uses the mover
   p.mover = std::make_unique<migration::Mover>(settings_.edges.longest, settings_.duty.drift,
                                                settings_.edges.without);
+  std::vector<duty::Duty*> duties;  // as in net/fleet_keeper.cpp: where areas may move
+  if (settings_.edges.areas > 0) duties.push_back(p.mover.get());
   p.fleet = std::make_unique<Fleet>(settings_.duty, "n" + std::to_string(at), "1", settings_.processes,
-                                    local(p), std::vector<duty::Duty*>{p.mover.get()});
+                                    local(p), std::move(duties));
   p.edge = std::make_unique<Edge>(settings_.edges, "n" + std::to_string(at));
   p.addresses =
       std::make_unique<store::Addresses>(std::vector<config::Endpoint>(1), random_(), settings_.duty.spread);
--- a/src/standin/store_model.cpp
+++ b/src/standin/store_model.cpp
@@ -1,6 +1,7 @@
 #include "standin/store_model.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace yokestream::standin {
 
@@ -15,25 +16,25 @@
   return answer;
 }
 
-Time StoreModel::next_expiry() const {
-  Time next = Time::max();
-  for (const auto& [id, lease] : leases_) next = std::min(next, lease.ends);
-  return next;
-}
+Time StoreModel::next_expiry() const { return ends_.empty() ? Time::max() : ends_.begin()->first; }
 
 void StoreModel::expire(Time now) {
-  for (auto it = leases_.begin(); it != leases_.end();) {
-    const auto lease = it++;
-    if (lease->second.ends <= now) end(now, lease->first);
-  }
+  while (next_expiry() <= now) end(now, ends_.begin()->second);
+}
+
+void StoreModel::lasts(Time ends, store::LeaseId id) {
+  Lease& lease = leases_[id];
+  ends_.erase({lease.ends, id});
+  lease.ends = ends;
+  ends_.insert({ends, id});
 }
 
 // All keys of a lease go in one revision.
 void StoreModel::end(Time now, store::LeaseId lease) {
-  leases_.erase(lease);
-  std::vector<std::string> gone;
-  for (const auto& [key, kv] : keys_)
-    if (kv.lease == lease) gone.push_back(key);
+  const auto it = leases_.find(lease);
+  const auto gone = std::move(it->second.keys);
+  ends_.erase({it->second.ends, lease});
+  leases_.erase(it);
   if (gone.empty()) return;
   ++revision_;
   for (const auto& key : gone) remove(now, {key, {}}, revision_);
@@ -53,23 +54,31 @@
   return it != keys_.end() && kv.value == c.value;
 }
 
+void StoreModel::unhang(const KeyValue& kv) {
+  if (const auto lease = leases_.find(kv.lease); lease != leases_.end()) lease->second.keys.erase(kv.key);
+}
+
+void StoreModel::note(Change change) {
+  by_key_[change.event.now.key].push_back(history_.size());
+  history_.push_back(std::move(change));
+}
+
 void StoreModel::put(Time now, const store::Put& put, Revision at) {
   KeyValue& kv = keys_[put.key];
+  unhang(kv);
   if (kv.create == 0) kv.create = at, kv.key = put.key;
   kv.mod = at, kv.value = put.value, kv.lease = put.lease, ++kv.version;
-  history_.push_back({at, now, {store::WatchEvent::Kind::put, kv}});
+  if (put.lease != store::LeaseId::none) leases_[put.lease].keys.insert(put.key);
+  note({at, now, {store::WatchEvent::Kind::put, kv}});
 }
 
 bool StoreModel::remove(Time now, const store::Delete& del, Revision at) {
   bool any = false;
-  for (auto it = keys_.begin(); it != keys_.end();) {
-    if (!within(it->first, del.key, del.end)) {
-      ++it;
-      continue;
-    }
+  for (auto it = keys_.lower_bound(del.key); it != keys_.end() && within(it->first, del.key, del.end);) {
     KeyValue gone;
     gone.key = it->first, gone.mod = at;
-    history_.push_back({at, now, {store::WatchEvent::Kind::removed, gone}});
+    note({at, now, {store::WatchEvent::Kind::removed, gone}});
+    unhang(it->second);
     it = keys_.erase(it);
     any = true;
   }
@@ -110,7 +119,8 @@
   StoreAnswer out;
   out.done.lease = store::LeaseId(++last_lease_);
   out.done.ttl_s = std::max<std::int64_t>(1, grant.ttl_s);
-  leases_[out.done.lease] = {out.done.ttl_s, now + std::chrono::seconds(out.done.ttl_s)};
+  leases_[out.done.lease].ttl_s = out.done.ttl_s;
+  lasts(now + std::chrono::seconds(out.done.ttl_s), out.done.lease);
   return out;
 }
 
@@ -119,7 +129,7 @@
   out.done.lease = keep.lease;
   const auto it = leases_.find(keep.lease);
   if (it == leases_.end()) return out;  // a time to live of 0: it is gone
-  it->second.ends = now + std::chrono::seconds(it->second.ttl_s);
+  lasts(now + std::chrono::seconds(it->second.ttl_s), keep.lease);
   out.done.ttl_s = it->second.ttl_s;
   return out;
 }
@@ -131,22 +141,23 @@
 }
 
 std::vector<KeyValue> StoreModel::range(const store::Range& asked) const {
+  const auto select = [&](const std::map<std::string, KeyValue>& keys) {
+    std::vector<KeyValue> out;
+    for (auto it = keys.lower_bound(asked.key); it != keys.end() && within(it->first, asked.key, asked.end);
+         ++it)
+      out.push_back(it->second);
+    return out;
+  };
+  if (asked.at == 0 || asked.at >= revision_) return select(keys_);
   std::map<std::string, KeyValue> then;
-  if (asked.at == 0 || asked.at >= revision_) {
-    then = keys_;
-  } else {
-    for (const auto& change : history_) {
-      if (change.revision > asked.at) break;
-      if (change.event.kind == store::WatchEvent::Kind::put)
-        then[change.event.now.key] = change.event.now;
-      else
-        then.erase(change.event.now.key);
-    }
+  for (const auto& change : history_) {
+    if (change.revision > asked.at) break;
+    if (change.event.kind == store::WatchEvent::Kind::put)
+      then[change.event.now.key] = change.event.now;
+    else
+      then.erase(change.event.now.key);
   }
-  std::vector<KeyValue> out;
-  for (const auto& [key, kv] : then)
-    if (within(key, asked.key, asked.end)) out.push_back(kv);
-  return out;
+  return select(then);
 }
 
 StoreAnswer StoreModel::check(const store::Watch& watch) const {
@@ -157,6 +168,15 @@
 
 std::vector<std::pair<Revision, store::WatchEvent>> StoreModel::events(const store::Watch& watch) const {
   std::vector<std::pair<Revision, store::WatchEvent>> out;
+  if (watch.end.empty()) {  // one key
+    const auto of_key = by_key_.find(watch.key);
+    if (of_key == by_key_.end()) return out;
+    const auto& at = of_key->second;
+    const auto after = [&](std::size_t i, Revision r) { return history_[i].revision < r; };
+    for (auto it = std::lower_bound(at.begin(), at.end(), watch.from, after); it != at.end(); ++it)
+      out.emplace_back(history_[*it].revision, history_[*it].event);
+    return out;
+  }
   const auto first = std::lower_bound(history_.begin(), history_.end(), watch.from,
                                       [](const Change& c, Revision r) { return c.revision < r; });
   for (auto it = first; it != history_.end(); ++it)
--- a/src/standin/store_model.h
+++ b/src/standin/store_model.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,8 @@
  private:
   bool holds(const store::Compare& compare) const;
   bool within(const std::string& key, const std::string& from, const std::string& end) const;
+  void note(Change change);
+  void unhang(const store::KeyValue& kv);  // from the lease that it hung on
   void put(Time now, const store::Put& put, store::Revision at);
   bool remove(Time now, const store::Delete& del, store::Revision at);
 
@@ -58,15 +61,19 @@
   StoreAnswer on(Time now, const store::Grant& grant);
   StoreAnswer on(Time now, const store::KeepAlive& keep);
   StoreAnswer on(Time now, const store::Revoke& revoke);
+  void lasts(Time ends, store::LeaseId lease);
   void end(Time now, store::LeaseId lease);
 
   struct Lease {
     std::int64_t ttl_s = 0;
     Time ends{};
+    std::set<std::string> keys;  // that hang on it
   };
   std::map<std::string, store::KeyValue> keys_;
   std::map<store::LeaseId, Lease> leases_;
+  std::set<std::pair<Time, store::LeaseId>> ends_;
   std::vector<Change> history_;
+  std::map<std::string, std::vector<std::size_t>> by_key_;  // where each key stands in the history
   store::Revision revision_ = 1, compacted_ = 0;
   std::int64_t last_lease_ = 1000;
 };
--- a/tests/node/duty_search_test.cpp
+++ b/tests/node/duty_search_test.cpp
@@ -21,10 +21,14 @@
 const duty::Settings kSettings;
 const std::string kLineOf = "d/line/", kBeat = "d/beat", kState = "d/state";
 
+struct Call {
+  store::Request request;
+  std::string digest = store::encode(request).body;  // once: most states have it from the one before
+};
 struct Candidate {
   Election election{kSettings, kLineOf, kBeat};
   std::optional<store::Request> asked;  // what it waits for an answer to
-  std::vector<store::Request> on_the_way;
+  std::vector<Call> on_the_way;
   std::optional<store::Reply> answer;
   std::size_t life = 0;
   int writes = 0;
@@ -49,7 +53,7 @@
   for (const auto& c : w.all) {
     out += '\n' + c.election.digest() + std::to_string(c.life) + std::to_string(c.writes);
     for (const bool b : {c.lease_over, c.writing, c.late_clock, c.asked.has_value()}) out += b ? '1' : '0';
-    for (const auto& m : c.on_the_way) out += '>' + store::encode(m).body;
+    for (const auto& m : c.on_the_way) out += '>' + m.digest;
     if (const auto* done = c.answer ? std::get_if<store::Done>(&*c.answer) : nullptr) {
       out += '<' + std::to_string(done->revision) + (done->succeeded ? 'y' : 'n');
       for (const auto& r : done->ranges)
@@ -82,7 +86,9 @@
   };
   const Candidate& c = from.all[p];
   const bool free = !c.asked && c.on_the_way.size() < kMostOnTheWay;
-  const auto send = [](Candidate& n, store::Request r) { n.asked = r, n.on_the_way.push_back(std::move(r)); };
+  const auto send = [](Candidate& n, store::Request r) {
+    n.asked = r, n.on_the_way.push_back({std::move(r)});
+  };
   if (free && c.election.next(c.now()))
     step([&](World&, Candidate& n) { send(n, *n.election.next(n.now())), n.election.asked(); });
   if (free && c.election.owner() && c.writes < kMostWrites)
@@ -97,7 +103,7 @@
       n.on_the_way.erase(n.on_the_way.begin() + static_cast<long>(m));
     });                                 // lost
     step([&](World& w, Candidate& n) {  // it arrives; who gave it up hears nothing
-      const auto result = w.store.handle(kNow, n.on_the_way[m]);
+      const auto result = w.store.handle(kNow, n.on_the_way[m].request);
       const bool awaited = n.asked && m + 1 == n.on_the_way.size();
       n.on_the_way.erase(n.on_the_way.begin() + static_cast<long>(m));
       if (awaited)
