--- a/tests/node/service_test.cpp
+++ b/tests/node/service_test.cpp
@@ -123,6 +123,24 @@
   CHECK(said(c, "close 2"));
 }
 
+TEST_CASE(
+    "a request that crosses the close of its connection is answered once, and nothing else is cut off") {
+  Core c(config::decode_config(config_text()));
+  c.arrive(1);
+  c.answer(c.written(), AnswerWord::served, 1, 0, "a\tb\tc\n");
+  c.hear(manager::Leave{true, 4700ms});
+  c.pass(60ms);
+  REQUIRE(said(c, "close 1"));
+  c.arrive(2);  // its bytes were read before the close was
+  REQUIRE(c.to(2).size() <= 1);
+  if (c.to(2).empty()) c.answer(c.only(), AnswerWord::served, 1, 0, "a\tb\tc\n");
+  CHECK(c.to(2).size() == 1);
+  c.hear(manager::SessionEnded{manager::SessionId{1}});
+  c.pass(4s);
+  CHECK(c.to(2).size() == 1);
+  CHECK(c.core.open_requests() == 0);
+}
+
 // Random days: what the figures say is what clients and engines counted.
 TEST_CASE("the figures are what the clients heard and what is open, on random days") {
   for (std::uint32_t seed = 1; seed <= 30; ++seed) {
