--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -42,13 +42,15 @@
   config.shared_folder = environment("TMPDIR");
 }
 
-// A bad new file changes nothing: what was good so far goes on.
-void reload(const Files& files, net::Server& server, Log& log) {
+// A bad new file changes nothing: what was good so far goes on. `fleet`: what this process began with. Its
+// session, its areas and its place in the store hang on it, so it is not changed under them.
+void reload(const Files& files, const duty::Settings& fleet, net::Server& server, Log& log) {
   try {
     const auto both = operator_file::read_both(files.config, files.operators);
     server.reload(both.config);
     log.configure(both.operators.log);
     log.note("took in the new configuration");
+    if (both.config.fleet != fleet) log.note("fleet: it stays as it was until a restart");
   } catch (const config::ConfigError& problem) {
     log.note(std::string("the new configuration is not taken: ") + problem.what());
   }
@@ -72,7 +74,7 @@
            (management ? ", operators on " + to_string(*management) : ""));
   for (int signal = SIGHUP; signal == SIGHUP;) {
     sigwait(&told, &signal);
-    if (signal == SIGHUP) reload(files, server, log);
+    if (signal == SIGHUP) reload(files, both.config.fleet, server, log);
   }
   log.note("told to end");
   server.leave();
--- a/src/duty/settings.h
+++ b/src/duty/settings.h
@@ -32,6 +32,7 @@
   // For tests alone: guards that are left out, so that the checker is seen to find what they guard against.
   enum Guard : unsigned { kTerm = 1, kAcknowledged = 2, kExpiry = 4, kFree = 8 };
   unsigned without = 0;
+  bool operator==(const Settings&) const = default;
 };
 
 }  // namespace yokestream::duty
--- a/tests/processes/program.cpp
+++ b/tests/processes/program.cpp
@@ -31,12 +31,12 @@
   static int count = 0;
   const std::string path = folder.path() + "/config-" + std::to_string(++count) + ".json";
   std::ofstream(path) << config;
-  const std::string own = path + ".operators";
-  std::ofstream(own) << operators;
+  operator_file_ = path + ".operators";
+  std::ofstream(operator_file_) << operators;
   environment.emplace("TMPDIR", folder.path());
   if (listener >= 0) environment.emplace("RELAY_LISTEN_FD", std::to_string(kHandedDown));
   std::vector<std::string> all = {"yokestream", "serve", "-c", path};
-  if (!operators.empty()) all.insert(all.end(), {"-o", own});
+  if (!operators.empty()) all.insert(all.end(), {"-o", operator_file_});
   std::vector<char*> arguments;
   for (auto& word : all) arguments.push_back(word.data());
   arguments.push_back(nullptr);
--- a/tests/processes/program.h
+++ b/tests/processes/program.h
@@ -38,6 +38,9 @@
   config::Endpoint operators();  // once it serves: its door. Throws if it ends first, as serves_on() does
   void tell(int signal) const;
   pid_t id() const { return child_; }
+  const std::string& operator_file() const {
+    return operator_file_;
+  }                              // its path; another text counts at SIGHUP
   bool has_ended();              // without waiting
   int ended();                   // waits for its end: the exit status, or minus the signal
   config::Endpoint serves_on();  // once it serves: its clients' address
@@ -49,7 +52,7 @@
   bool reap(int options);
   config::Endpoint told(const char* words, config::Endpoint& known);
 
-  std::string said_;
+  std::string operator_file_, said_;
   config::Endpoint door_, clients_;
   bool over_ = false;
   int status_ = 0;
