--- a/src/manager/attempts.cpp
+++ b/src/manager/attempts.cpp
@@ -27,34 +27,10 @@
 
 }  // namespace
 
-void Manager::on(const LinkUp& up) {
-  if (Link* link = links_.find(up.link)) link->up = true, link->heard = now_;
-}
-
-void Manager::on(const LinkEnded& ended) {
-  Link* link = links_.find(ended.link);
-  if (!link) return;
-  // Copied, as ending an attempt takes it off the link.
-  const auto carried = link->carries;
-  const bool was_up = link->up;
-  if (was_up && !carried.empty())
-    log_.note("a connection to " + link->uid + " ended with " + std::to_string(carried.size()) +
-              " attempts on it: " + ended.why);
-  for (const auto& [id, query] : carried) {
-    Request& request = requests_.at(query);
-    const bool unwritten = engines_.withdraw(ended.link, request.attempt->tag);
-    end_attempt(query, request,
-                !was_up     ? Outcome::unreachable
-                : unwritten ? Outcome::never_sent
-                            : Outcome::reset);
-  }
-  links_.drop(ended.link);
-}
-
 // Ends an attempt from this side, now: what still comes of it is dropped.
 void Manager::give_up_attempt(QueryId query, Request& request, Outcome outcome) {
   Attempt& attempt = *request.attempt;
-  const bool unwritten = engines_.withdraw(attempt.link, attempt.tag);
+  const bool unwritten = take_back(attempt);
   if (attempt.phase == Phase::fetching)
     engines_.end(attempt.link, request.told.request_id);  // it ran: only its pages are left to give up
   else if (!unwritten && attempt.phase != Phase::stopping)
@@ -99,8 +75,7 @@
   }
   for (const QueryId query : out) {
     Request& request = requests_.at(query);
-    if (engines_.withdraw(request.attempt->link, request.attempt->tag))
-      end_attempt(query, request, Outcome::never_sent);
+    if (take_back(*request.attempt)) end_attempt(query, request, Outcome::never_sent);
   }
 }
 
@@ -117,8 +92,7 @@
   if (it == requests_.end() || !it->second.attempt || it->second.attempt->tag != timer.tag) return;
   Attempt& attempt = *it->second.attempt;
   if (timer.outcome == Outcome::never_sent) {  // its grant is over: what has not left never will
-    if (engines_.withdraw(attempt.link, attempt.tag))
-      end_attempt(timer.query, it->second, Outcome::never_sent);
+    if (take_back(attempt)) end_attempt(timer.query, it->second, Outcome::never_sent);
     return;
   }
   if (timer.outcome == Outcome::timed_out)
@@ -132,56 +106,6 @@
   on(LinkEnded{link, "a stop was not confirmed"});
 }
 
-void Manager::act(const lynxstand::Send& send) {
-  const auto it = requests_.find(send.query);
-  if (it == requests_.end()) return;
-  Request& request = it->second;
-  const lynxstand::AttemptNo number{request.attempts++};
-  const auto not_sent = [&](Outcome outcome) {
-    AttemptEnded end;
-    end.query = send.query;
-    end.attempt = number;
-    end.engine = send.engine;
-    end.outcome = outcome;
-    end.finished = request.answered;
-    tell(std::move(end));
-  };
-  if (request.answered || request.attempt) return not_sent(Outcome::never_sent);
-  const EngineRecord* engine = directory_.usable(send.engine.name);
-  if (!engine) return not_sent(Outcome::unreachable);
-  // Guards the areas that a duty touches, where a table has come since the module chose.
-  const routes::Route route = route_of(request.told);
-  if (bars(route, send.engine.name)) return not_sent(Outcome::never_sent);
-  const std::string& id = request.told.request_id;
-  const auto link = links_.pick(now_, send.engine.name, *engine, request.used, now_ + config_.real.dial_time);
-  if (!link) return not_sent(Outcome::unreachable);
-  request.used.push_back(*link);
-  links_.carry(now_, *link, id, send.query);
-  Attempt attempt;
-  attempt.number = number;
-  attempt.uid = send.engine.name;
-  attempt.link = *link;
-  attempt.tag = ++last_tag_;
-  attempt.sent = now_;
-  Time until = request.told.deadline;
-  if (send.time_out > Duration{} && now_ + send.time_out < until) {
-    until = now_ + send.time_out;
-    at(until, AttemptTimer{send.query, attempt.tag, Outcome::timed_out, now_});
-  }
-  EngineRequest out;
-  out.id = id;
-  out.profile = config_.real.classes[static_cast<std::size_t>(request.told.cls)];
-  out.deadline = until;
-  out.band = band_of(send.query, request, send.engine.name);
-  if (route.touched) {
-    out.granted_until = routes_.until();
-    at(out.granted_until, AttemptTimer{send.query, attempt.tag, Outcome::never_sent, now_});
-  }
-  out.statement = request.told.statement;
-  engines_.send(*link, attempt.tag, std::move(out));
-  request.attempt = std::move(attempt);
-}
-
 void Manager::act(const lynxstand::Cancel& cancel) {
   const auto it = requests_.find(cancel.query);
   if (it == requests_.end() || !it->second.attempt) return;
@@ -192,8 +116,7 @@
     if (request.answered) give_up_attempt(cancel.query, request, Outcome::cancelled);
     return;
   }
-  if (engines_.withdraw(attempt.link, attempt.tag))
-    return end_attempt(cancel.query, request, Outcome::never_sent);
+  if (take_back(attempt)) return end_attempt(cancel.query, request, Outcome::never_sent);
   if (request.answered) return give_up_attempt(cancel.query, request, Outcome::cancelled);
   attempt.phase = Phase::stopping;
   engines_.stop(attempt.link, request.told.request_id);
--- a/src/manager/directory.cpp
+++ b/src/manager/directory.cpp
@@ -16,21 +16,13 @@
 
 }  // namespace
 
-// Guards against a restart that never was: the module takes a changed start for one, and a wall clock that is
-// slewed maps the same millisecond to another time. So each start is mapped once.
-Time Directory::started(const std::string& uid, std::int64_t boot_ms) {
-  auto& [known, time] = starts_[uid];
-  if (known != boot_ms) known = boot_ms, time = from_unix_(boot_ms);
-  return time;
-}
-
 // Guards the memory where new engines replace old ones under new names for good. One that comes back soon is
 // still known, and its start maps to the same time.
 void Directory::forget(Time now) {
   std::erase_if(engines_, [&](const auto& known) {
     const auto& [uid, record] = known;
     if (!record.gone_since || now - *record.gone_since < kForgetAfter) return false;
-    starts_.erase(uid);
+    starts_.forget(uid);
     const auto owner = owners_.find(record.endpoint);
     if (owner != owners_.end() && owner->second == uid) owners_.erase(owner);
     return true;
@@ -80,7 +72,8 @@
     entry.cell = lynxstand::CellId{member.cell};
     entry.state = member.state;
     entry.weight = member.weight;
-    if (member.boot_ms > 0) entry.started = started(member.uid, member.boot_ms);
+    const bool news = !remembered && !event.whole;
+    if (member.boot_ms > 0) entry.started = starts_.started(now, member.uid, member.boot_ms, news);
     list.entries.push_back(std::move(entry));
   }
   return list;
--- a/src/manager/directory.h
+++ b/src/manager/directory.h
@@ -9,6 +9,7 @@
 
 #include "config/config.h"
 #include "manager/ports.h"
+#include "manager/start_times.h"
 
 namespace yokestream::manager {
 
@@ -22,9 +23,9 @@
 
 class Directory {
  public:
-  using FromUnix = std::function<Time(std::int64_t unix_ms)>;
+  using FromUnix = StartTimes::FromUnix;
   Directory(const config::RealSettings& names, FromUnix from_unix)
-      : names_(names), from_unix_(std::move(from_unix)) {}
+      : names_(names), starts_(std::move(from_unix)) {}
 
   // Takes in an event and returns it as the module is to hear it.
   lynxstand::EngineList apply(Time now, const config::MembersEvent& event, bool remembered);
@@ -42,13 +43,11 @@
  private:
   void note_gone(EngineRecord& record, Time now);
   void claim(const config::Endpoint& endpoint, const config::Member& member);
-  Time started(const std::string& uid, std::int64_t boot_ms);
 
   const config::RealSettings& names_;
-  FromUnix from_unix_;
   std::map<std::string, EngineRecord> engines_;
   std::map<config::Endpoint, std::string> owners_;  // who was last named at an address
-  std::map<std::string, std::pair<std::int64_t, Time>> starts_;
+  StartTimes starts_;
 };
 
 }  // namespace yokestream::manager
--- a/src/manager/manager.cpp
+++ b/src/manager/manager.cpp
@@ -150,6 +150,7 @@
     on(LinkEnded{link, "it does not answer"});
   }
   look_at_service();
+  finish_settled();
   directory_.forget(now_);
   routes_.keep([&](const std::string& uid) { return directory_.knows(uid); });
   note_stations();
--- a/src/manager/manager.h
+++ b/src/manager/manager.h
@@ -17,6 +17,7 @@
 #include "manager/directory.h"
 #include "manager/links.h"
 #include "manager/ports.h"
+#include "manager/request.h"
 #include "manager/service.h"
 #include "manager/sessions.h"
 #include "queues/queues.h"
@@ -66,56 +67,6 @@
   bool left(Time now) const { return service_.may_end(now) && calls_.empty() && sessions_.empty(); }
 
  private:
-  struct Wake {
-    std::uint64_t token = 0;
-  };
-  struct Deadline {
-    lynxstand::QueryId query{};
-  };
-  struct Guard {
-    lynxstand::QueryId query{};
-  };
-  struct AttemptTimer {  // time-out, or the end of what a stop may take
-    lynxstand::QueryId query{};
-    SendTag tag = 0;
-    lynxstand::Outcome outcome{};
-    Time since{};
-  };
-  struct Sweep {};
-  struct CloseIdle {};    // clients are sent away: those that are idle now
-  struct StationLook {};  // somebody at a station may have to move
-  struct EndAll {};       // told to leave: whatever is open gets its answer now
-  struct RoutesEnd {};    // the grant is over, unless it was renewed
-  using Timer =
-      std::variant<Wake, Deadline, Guard, AttemptTimer, Sweep, CloseIdle, StationLook, EndAll, RoutesEnd>;
-  using Timers = std::multimap<Time, Timer>;
-
-  enum class Phase { out, stopping, fetching };
-  struct Attempt {
-    lynxstand::AttemptNo number{};
-    std::string uid;
-    LinkId link{};
-    SendTag tag = 0;
-    Time sent{};
-    Phase phase = Phase::out;
-    EngineAnswer end;  // fetching: the answer `served`, its body grown by the pages that have come
-    std::map<std::uint32_t, std::string> pages;
-    Reservation held;
-    lynxstand::Duration took{};
-  };
-  struct Request {
-    Arrived told;
-    std::vector<LinkId> used;    // by its attempts so far
-    std::uint32_t priority = 1;  // the module's wish
-    std::uint32_t attempts = 0;
-    bool answered = false;
-    std::optional<Attempt> attempt;
-    Reservation held;
-    Timers::iterator deadline, guard;
-    Time passed{};                                 // the door
-    std::optional<lynxstand::EngineSet> eligible;  // as the module was told last
-    door::Outcome past;                            // what the door is to hear at the end
-  };
   using Requests = std::map<lynxstand::QueryId, Request>;
   using CallKey = std::pair<SessionId, CallId>;
 
@@ -127,6 +78,7 @@
   void on(const ProbeAsked& probe);
   void on(const QuoteAsked& asked);
   void on(const SessionEnded& ended);
+  void on(const SessionStalled& stalled);
   void on(const LinkUp& up);
   void on(const LinkEnded& ended);
   void on(const Answered& answered);
@@ -140,6 +92,7 @@
   void due(const Deadline& deadline);
   void due(const Guard& guard);
   void due(const AttemptTimer& timer);
+  void due(const DialAgain& timer);
   void due(const Sweep&);
   void due(const CloseIdle&);
   void due(const StationLook&);
@@ -190,6 +143,7 @@
   void spoilt(LinkId link);
   void unusable(lynxstand::QueryId query, Request& request);
   void close_idle(SessionId session);
+  void finish_settled();
   void look_at_service();
   void publish_engines();
   void answered_note(lynxstand::QueryId query, const Attempt& attempt, const EngineAnswer& answer);
@@ -197,6 +151,9 @@
   void answered_rows(lynxstand::QueryId query, Request& request, EngineAnswer answer);
   void serve(lynxstand::QueryId query, Request& request);
   void give_up_attempt(lynxstand::QueryId query, Request& request, lynxstand::Outcome outcome);
+  bool dispatch(lynxstand::QueryId query, Request& request, const EngineRecord& engine);
+  bool dial_again(lynxstand::QueryId query, Attempt& attempt);
+  bool take_back(const Attempt& attempt);
   void end_attempt(lynxstand::QueryId query, Request& request, lynxstand::Outcome outcome);
   void forget_if_done(Requests::iterator it);
 
--- a/src/manager/ports.h
+++ b/src/manager/ports.h
@@ -66,12 +66,16 @@
   SessionId session{};
   const char* why = "closed by its client";  // a static text
 };
+struct SessionStalled {  // nothing more is read of it; it ends once it has its answers
+  SessionId session{};
+};
 struct LinkUp {
   LinkId link{};
 };
 struct LinkEnded {  // refused, not up in time, reset, closed or broken
   LinkId link{};
   std::string why;
+  bool local = false;  // never up, for a lack on this machine that may pass: it tells nothing of the engine
 };
 struct Answered {
   LinkId link{};
@@ -86,8 +90,9 @@
 };
 struct Evacuate {};  // the operators send clients away
 struct Activate {};  // and want them back
-using Event = std::variant<SessionBegan, Arrived, BadRequest, GaveUp, ProbeAsked, QuoteAsked, SessionEnded,
-                           LinkUp, LinkEnded, Answered, ListChanged, Leave, Evacuate, Activate>;
+using Event =
+    std::variant<SessionBegan, Arrived, BadRequest, GaveUp, ProbeAsked, QuoteAsked, SessionEnded,
+                 SessionStalled, LinkUp, LinkEnded, Answered, ListChanged, Leave, Evacuate, Activate>;
 
 // ---------------------------------------------------------------- actions
 
@@ -110,6 +115,11 @@
   virtual void close(SessionId session) = 0;  // a SessionEnded follows
   // The same, unless something has come from it that is not handed in yet; then false.
   virtual bool close_idle(SessionId session) = 0;
+  // Closed once its answers are written; a SessionEnded follows.
+  virtual void finish(SessionId session) { close(session); }
+  // Has its client closed the connection, though the SessionEnded has not come yet? Looked at right before an
+  // attempt leaves.
+  virtual bool has_left(SessionId) { return false; }
 };
 
 class EnginePort {
--- a/src/manager/requests.cpp
+++ b/src/manager/requests.cpp
@@ -28,7 +28,7 @@
 
 }  // namespace
 
-Manager::Request* Manager::open_call(SessionId session, CallId call, QueryId* query) {
+Request* Manager::open_call(SessionId session, CallId call, QueryId* query) {
   const auto it = calls_.find({session, call});
   if (it == calls_.end()) return nullptr;
   *query = it->second;
@@ -141,6 +141,15 @@
   sessions_.end(ended.session);
 }
 
+void Manager::on(const SessionStalled& stalled) {
+  sessions_.stall(stalled.session);
+  finish_settled();
+}
+
+void Manager::finish_settled() {
+  for (const SessionId session : sessions_.settled()) clients_.finish(session);
+}
+
 // The module withdraws what is out for it; nothing is owed any more.
 void Manager::client_left(QueryId query) {
   const auto it = requests_.find(query);
--- a/src/manager/routing.cpp
+++ b/src/manager/routing.cpp
@@ -51,8 +51,7 @@
   }
   for (const auto query : barred) {
     Request& request = requests_.at(query);
-    if (engines_.withdraw(request.attempt->link, request.attempt->tag))
-      end_attempt(query, request, lynxstand::Outcome::never_sent);
+    if (take_back(*request.attempt)) end_attempt(query, request, lynxstand::Outcome::never_sent);
   }
 }
 
--- a/src/manager/service.cpp
+++ b/src/manager/service.cpp
@@ -14,7 +14,8 @@
 constexpr Duration kLeaveEnds = milliseconds(2900);
 constexpr Duration kBeforeKill =
     milliseconds(800);  // with a successor: all is answered so long before the kill
-constexpr Duration kLastAccepted = milliseconds(300);  // from the socket to the core
+constexpr Duration kLastAccepted = milliseconds(300);  // from the socket to the core, beside a successor
+constexpr Duration kLastHeard = milliseconds(50);      // the same where nobody else serves, and nobody comes
 constexpr Duration kLastRefused = milliseconds(300);   // and what comes this long before that is refused
 // Told to send clients away: at 4 s no connection may carry a request of the last 2 s, so what comes later
 // than this is refused, and the platform's clocks may be a turn of the core apart.
@@ -40,7 +41,7 @@
   end_by_ = successor ? now + std::max(most - kBeforeKill, kBeforeKill) : now + kLeaveEnds;
   listen_until_ = successor ? now : now + kLeaveListens;
   accept_until_ = successor ? end_by_ - kLastRefused : now + kLeaveAccepts;
-  end_from_ = listen_until_ + (successor ? kLastAccepted : Duration{});
+  end_from_ = listen_until_ + (successor ? kLastAccepted : kLastHeard);
   close_from_ = successor ? now : accept_until_;
 }
 
--- a/src/manager/sessions.cpp
+++ b/src/manager/sessions.cpp
@@ -19,7 +19,7 @@
   std::optional<SessionId> out;
   Session* least = nullptr;
   for (auto& [id, session] : sessions_) {
-    if (session.open > 0 || session.closing) continue;
+    if (session.open > 0 || session.closing || session.stalled) continue;
     if (least && std::pair(session.served, session.last) >= std::pair(least->served, least->last)) continue;
     least = &session, out = id;
   }
@@ -89,10 +89,24 @@
   if (Session* session = find(id)) session->closing = false;
 }
 
+void Sessions::stall(SessionId id) {
+  if (Session* session = find(id)) session->stalled = true;
+}
+
+std::vector<SessionId> Sessions::settled() {
+  std::vector<SessionId> out;
+  for (auto& [id, session] : sessions_) {
+    if (!session.stalled || session.open > 0 || session.closing) continue;
+    session.closing = true;
+    out.push_back(id);
+  }
+  return out;
+}
+
 std::vector<SessionId> Sessions::overdue(Time now, std::optional<Duration> spared) {
   std::vector<SessionId> out;
   for (auto& [id, session] : sessions_) {
-    if (session.open > 0 || session.closing) continue;
+    if (session.open > 0 || session.closing || session.stalled) continue;
     const Duration silence = now - (session.answered ? session.last : session.since);
     const Duration usual = session.answered ? bounds_.idle : bounds_.first_within;
     const bool over = silence >= (!spared ? usual : session.answered ? *spared : bounds_.fresh);
--- a/src/manager/sessions.h
+++ b/src/manager/sessions.h
@@ -41,6 +41,9 @@
   bool suspect(Time now, SessionId id) const;
   void keep(SessionId id);  // what was named could not be closed: something has come from it
   void end(SessionId id) { sessions_.erase(id); }
+  // Nothing more is read of it: it goes once nothing is open on it. Who has come to that, each once.
+  void stall(SessionId id);
+  std::vector<SessionId> settled();
   // Those to be closed as they have nothing open: for too long, or, oldest first, as connections run short;
   // with `spared`, each that is not new, after so long with nothing open. Each is named once.
   std::vector<SessionId> overdue(Time now, std::optional<Duration> spared);
@@ -52,7 +55,7 @@
     std::uint64_t origin = 0;
     Time since{}, last{};
     std::size_t open = 0, answers = 0;
-    bool answered = false, served = false, closing = false;
+    bool answered = false, served = false, closing = false, stalled = false;
     std::optional<Time> blamed;
   };
   bool crowded() const { return sessions_.size() >= bounds_.sessions * 3 / 4; }
--- /dev/null
+++ b/src/net/client_call.cpp
@@ -0,0 +1,119 @@
+#include "net/client_call.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <optional>
+#include <system_error>
+
+#include "queues/quote.h"
+#include "statement/table_group.h"
+
+namespace yokestream::net {
+namespace {
+
+constexpr double kMostWorkMs = 1e7;                        // hours
+constexpr double kMostMemoryMb = 1e7;                      // of the largest machines
+constexpr Duration kClockSlack = std::chrono::seconds(1);  // by which a client may wait longer than its class
+
+const std::string* field(const protocol::Call& call, const std::string& name) {
+  const auto it = call.fields.find(name);
+  return it == call.fields.end() ? nullptr : &it->second;
+}
+
+std::optional<double> real(const std::string& text) {
+  double n = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), n);
+  if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(n)) return std::nullopt;
+  return n;
+}
+
+template <class Id>
+std::optional<Id> position(const std::vector<std::string>& names, const std::string& name) {
+  const auto it = std::find(names.begin(), names.end(), name);
+  if (it == names.end()) return std::nullopt;
+  return Id{static_cast<std::uint32_t>(it - names.begin())};
+}
+
+// Guards the connections to engines: what an engine can't read ends all that runs on its connection.
+bool is_statement(std::string_view text) {
+  return !text.empty() && std::none_of(text.begin(), text.end(), [](unsigned char c) {
+    return (c < 0x20 && c != '\t' && c != '\n' && c != '\r') || c == 0x7f;
+  });
+}
+
+bool is_request_id(const std::string& text) {
+  return text.size() == 16 && text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+}
+
+// `quote` is a call that is not served: its class comes as a field, all else as in the call itself.
+bool is_quote(protocol::Call& call, const config::RealSettings& names) {
+  if (!names.quote_method || call.method != "quote") return false;
+  const auto* cls = field(call, "class");
+  call.method = cls ? *cls : "";
+  return true;
+}
+
+manager::Event call_event(manager::SessionId session, protocol::Call call, Time arrived,
+                          const config::RealSettings& names) {
+  const auto bad = [&](std::string problem) {
+    return manager::BadRequest{session, call.id, std::move(problem)};
+  };
+  manager::Arrived out;
+  out.session = session;
+  out.call = call.id;
+  const auto cls = position<lynxstand::ClassId>(names.classes, call.method);
+  if (!cls) return bad("unknown class");
+  out.cls = *cls;
+  const auto* id = field(call, "req");
+  if (!id || !is_request_id(*id)) return bad("bad field req");
+  out.request_id = *id;
+  const auto* timeout = field(call, "timeout");
+  const auto left = timeout ? real(*timeout) : std::nullopt;
+  const Duration most = names.deadlines[static_cast<std::size_t>(out.cls)] + kClockSlack;
+  if (!left || *left <= 0 || *left * 1e6 > static_cast<double>(most.count())) return bad("bad field timeout");
+  out.deadline = arrived + Duration(static_cast<Duration::rep>(*left * 1e6));
+  if (!names.tenants.empty()) {
+    const auto* owner = field(call, "owner");
+    const auto tenant = owner ? position<lynxstand::TenantId>(names.tenants, *owner) : std::nullopt;
+    if (!tenant) return bad("unknown owner");
+    out.tenant = *tenant;
+  }
+  if (const auto* ms = field(call, "ms")) {
+    const auto work = real(*ms);
+    if (!work || *work < 0 || *work > kMostWorkMs) return bad("bad field ms");
+    if (*work > 0) out.work = Duration(static_cast<Duration::rep>(*work * 1e6));
+  }
+  if (const auto* mb = field(call, "mb")) {
+    const auto memory = real(*mb);
+    if (!memory || *memory < 0 || *memory > kMostMemoryMb) return bad("bad field mb");
+    out.memory_mb = *memory;
+  }
+  if (!is_statement(call.body)) return bad("the statement is no text");
+  const auto* resent = field(call, "resent");
+  out.repeat = resent && (*resent == "1" || *resent == "true");
+  out.tables = lynxstand::TableGroupId{statement::table_group(call.body).value_or(0)};
+  out.statement = std::move(call.body);
+  return out;
+}
+
+}  // namespace
+
+manager::Event to_event(manager::SessionId session, protocol::ClientMessage message, Time arrived,
+                        const config::RealSettings& names) {
+  if (auto* call = std::get_if<protocol::Call>(&message)) {
+    const bool quote = is_quote(*call, names);
+    manager::Event event = call_event(session, std::move(*call), arrived, names);
+    if (!quote) return event;
+    if (auto* request = std::get_if<manager::Arrived>(&event))
+      return manager::QuoteAsked{std::move(*request)};
+    return event;
+  }
+  if (const auto* probe = std::get_if<protocol::Probe>(&message))
+    return manager::ProbeAsked{session, probe->id};
+  if (const auto* bad = std::get_if<protocol::BadCall>(&message))
+    return manager::BadRequest{session, bad->id, bad->problem};
+  return manager::GaveUp{session, std::get<protocol::GiveUp>(message).id};
+}
+
+}  // namespace yokestream::net
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -14,6 +14,7 @@
 
 #include "config/settings.h"
 #include "net/events.h"
+#include "net/message_queue.h"
 #include "net/pace.h"
 #include "net/poller.h"
 #include "net/sender.h"
@@ -55,6 +56,8 @@
   void break_off(const char* why);
   bool break_off_idle();               // false: a message or an answer is on its way
   void finish() { sender_.finish(); }  // the connection ends once all answers are written
+  void finish_if_settled();            // the same, unless a message of it is still on its way to the core
+  bool client_has_left() const { return socket_.peer_has_closed(); }  // though nobody has read that yet
 
  private:
   struct Item {
@@ -66,11 +69,17 @@
 
   void add(std::string bytes, manager::Reservation held, std::size_t counted);
   void say(std::string bytes);
-  void decode(std::string_view bytes, Time arrived);
+  enum class Came { nothing, something, end };
+  Came read_some();
+  void decode_ahead();
   // Of a message that is not whole yet: its time and its bytes. False: there is no memory for more of it now.
   bool bound_rest();
-  void hand_in(protocol::ClientMessage message);
+  void hand_in_next();
+  Look hand_in_all(Time now);  // again: all is handed in
+  Look pause(Time now, Time until);
   Look read_now(Time now);
+  Look stop_reading(Time now, const std::string& why);
+  Look wait_for_end(Time now);
   // A client that has been served often and has just asked gets a reader. False: it needs none, or none can
   // be had, and it is read here as before.
   bool start_reader();
@@ -89,20 +98,20 @@
   std::atomic<bool> busy_{false};  // its reader holds bytes of which the core does not know
   // Whoever reads it owns these.
   protocol::MsgpackReader reader_;
+  MessageQueue messages_;
+  std::optional<std::string> fault_;       // what makes no sense, behind the messages ahead of it
+  bool reading_over_ = false;              // nothing more is read; what it is owed still leaves
+  Time end_by_ = Time::max();              // then it goes, though it has not read all
   manager::Reservation buffered_, place_;  // bytes; among the readers
   Pace pace_;
   Time whole_by_ = Time::max();  // a message that has begun is whole by then
   Time due_ = Time::max();
-  Time arrived_{};                                   // the last bytes
+  Time arrived_{};                    // the last bytes
+  std::optional<Time> unread_since_;  // it was not read from then on, though something may have come
   const char* ending_ = "closed by its client";      // why it ends, as end() tells the core
-  std::optional<protocol::ClientMessage> waiting_;   // decoded; its turn has not come
   std::map<manager::CallId, queues::Quote> quotes_;  // the core thread's
   Sender<Item> sender_;
   Thread thread_;  // last: it uses the rest
 };
 
-// A client's message as the core is to hear it.
-manager::Event to_event(manager::SessionId session, protocol::ClientMessage message, Time arrived,
-                        const config::RealSettings& names);
-
 }  // namespace yokestream::net
--- a/src/net/engine_link.cpp
+++ b/src/net/engine_link.cpp
@@ -20,7 +20,7 @@
       up_by_(deadline),
       inbox_(inbox),
       writer_(writer),
-      begun_(socket_.begin_connect(endpoint, &why_)),
+      begun_(socket_.begin_connect(endpoint, &failure_)),
       reader_(report_fields),
       sender_(
           kOutboxBytes, socket_, &EngineLink::word,
@@ -67,8 +67,8 @@
 // Up: what waits leaves. The core hears of it first, and so of its answers later.
 bool EngineLink::came_up(bool asked) {
   if (begun_ == Socket::Begun::failed) return false;
-  if (begun_ == Socket::Begun::pending && (!asked || !socket_.finish_connect(&why_))) {
-    if (!asked) why_ = "not up in time";
+  if (begun_ == Socket::Begun::pending && (!asked || !socket_.finish_connect(&failure_))) {
+    if (!asked) failure_ = {"not up in time", false};
     return false;
   }
   up_ = true;
@@ -103,16 +103,16 @@
     take({bytes.data(), *size});
   }
   if (now < whole_by_) return Look::again;
-  why_ = "an answer stopped short";
+  failure_.why = "an answer stopped short";
   return Look::ended;
 } catch (const std::exception& problem) {
-  why_ = problem.what();
+  failure_.why = problem.what();
   return Look::ended;
 }
 
 void EngineLink::end() {
   break_off();
-  inbox_.post(manager::Event(manager::LinkEnded{id_, why_}));
+  inbox_.post(manager::Event(manager::LinkEnded{id_, failure_.why, !up_ && failure_.local}));
 }
 
 }  // namespace yokestream::net
--- a/src/net/engine_link.h
+++ b/src/net/engine_link.h
@@ -52,7 +52,7 @@
   Socket socket_;
   // The dock's thread only, once it is constructed. In this order: a connection that fails at its begin says
   // why.
-  std::string why_ = "closed or reset by the engine";
+  ConnectFailure failure_{"closed or reset by the engine", false};
   Socket::Begun begun_;
   protocol::RespReader reader_;
   bool up_ = false;
--- a/src/net/hand_over.h
+++ b/src/net/hand_over.h
@@ -26,16 +26,17 @@
   // `place` tells the processes of one folder apart.
   HandOver(const std::string& folder, int place, const config::RealSettings& names);
   ~HandOver();
-  void offer(lynxstand::Learnt learnt);  // never waits
+  void offer(lynxstand::Learnt learnt);            // never waits
+  void write_now(lynxstand::Learnt learnt) const;  // on the caller's thread, to its end
 
  private:
   struct Item {
     lynxstand::Learnt learnt;
     Time at{};
   };
-  void write(Item item) const;
+  void write(const std::string& bytes) const;
 
-  const std::string path_, own_;
+  const std::string folder_, path_, own_;
   const config::RealSettings& names_;
   Outbox<Item> items_;
   Thread thread_;  // last: it uses the rest
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -53,7 +53,10 @@
 }
 
 void Listener::accept_all() {
-  if (!wait_until(Time::max(), &gate_.opened())) return;
+  // An interrupted wait is no opened gate: until then another process may serve here.
+  while (!gate_.is_open()) {
+    if (!wait_until(Time::max(), &gate_.opened())) return;
+  }
   bool short_of = false;
   while (true) {
     // Guards the descriptors that links to engines need: who is one too many waits to be accepted, and the
--- a/src/net/sender.h
+++ b/src/net/sender.h
@@ -79,7 +79,11 @@
   void finish() {  // the connection ends once all is written
     const std::lock_guard lock(mutex_);
     finishing_ = true;
-    if (left()) socket_.break_off();
+    if (left()) socket_.finish_writing();
+  }
+  bool finished() {  // finish() was called, and all has left
+    const std::lock_guard lock(mutex_);
+    return finishing_ && left();
   }
   void close() {  // nothing more leaves
     const std::lock_guard lock(mutex_);
@@ -90,16 +94,23 @@
   int descriptor() const override { return socket_.descriptor(); }
   Look look(Time, bool) override {
     const std::lock_guard lock(mutex_);
-    if (!closed_ && write_on() == Went::in_part) return Look::writable;
+    due_ = Time::max();
+    if (!closed_ && write_on() == Went::in_part) return wrote_ ? Look::writable : look_later();
     watched_ = false;
     return Look::taken;  // by who adds
   }
-  Time due() const override { return Time::max(); }
+  Time due() const override { return due_; }
   void end() override {}
 
  private:
   enum class Went { all, in_part, broken };
+  static constexpr Duration kNoBuffer = std::chrono::milliseconds(10);
 
+  // Guards the processor where the system has no buffer: the socket could be written, and takes nothing.
+  Look look_later() {
+    due_ = now() + kNoBuffer;
+    return Look::later;
+  }
   // All under the lock.
   bool left() const { return items_.empty() && begun_.empty(); }
   bool write_or_watch() {  // false: broken
@@ -111,6 +122,7 @@
   // withdraw() finds it until some of it has left, so what stays there when the connection breaks may be sent
   // elsewhere.
   Went write_on() {
+    wrote_ = false;
     while (!left()) {
       const bool fresh = begun_.empty();
       if (fresh && until_ && now() >= until_(items_.front().first)) {
@@ -121,6 +133,7 @@
       std::string bytes = fresh ? word_(items_.front().first) : std::exchange(begun_, {});
       const auto written = socket_.write_now(bytes);
       if (!written) return socket_.break_off(), Went::broken;
+      wrote_ = wrote_ || *written > 0;
       if (fresh && *written == 0) return Went::in_part;
       if (fresh) {
         writing_ = std::move(items_.front().first);
@@ -132,7 +145,7 @@
       if (whole_) whole_(*writing_);
       writing_.reset();
     }
-    if (finishing_) socket_.break_off();
+    if (finishing_) socket_.finish_writing();
     return Went::all;
   }
 
@@ -147,6 +160,8 @@
   std::optional<Item> writing_;  // left in part: what it holds is given back once it has left
   std::string begun_;            // the rest of it
   std::size_t bytes_ = 0;
+  Time due_ = Time::max();  // the poller's thread only
+  bool wrote_ = false;      // the last time that something could leave, some of it did
   bool open_ = false, watched_ = false, finishing_ = false, closed_ = false;
 };
 
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -17,6 +17,7 @@
 // For answers that are queued when all is over. Guards them against a writer that does not run for a moment:
 // a part of a core is shared by all. Still before the kill, 3.7 s after the word to leave.
 constexpr Duration kLastWrites = milliseconds(600);
+constexpr Duration kLastLooks = milliseconds(10);  // at what is not settled yet
 
 // Whose message it is, if a client's.
 std::optional<manager::SessionId> sender_of(const manager::Event& event) {
@@ -52,8 +53,7 @@
       writer_("writer"),
       readers_{manager::Budget(kMostReaders), lobby_, writer_},
       manager_(config, now(), from_unix_ms, budget_, *this, *this, log, handed_down(config, log)) {
-  last_event_ = config.known_number;
-  follow(config.feed);
+  feed_ = std::make_unique<FeedFollower>(config.feed, config.known_number, config.seed, inbox_, log);
   listener_ = std::make_unique<Listener>(config, gate_, slots_, budget_, inbox_, readers_, log);
   if (shares(config)) {
     together_.emplace(config.shared_folder);
@@ -84,15 +84,6 @@
   inbox_.post(Reloaded{config.feed, config.door, config.queues});
 }
 
-// The numbers carry on: the new feed is asked for what the old one has not told yet.
-void Server::follow(const std::optional<config::Endpoint>& feed) {
-  if (feed == followed_) return;
-  if (feed_) last_event_ = feed_->end();
-  feed_.reset();
-  followed_ = feed;
-  if (feed) feed_ = std::make_unique<FeedFollower>(*feed, last_event_, inbox_, log_);
-}
-
 std::optional<config::Endpoint> Server::management() const {
   return management_ ? std::optional(management_->endpoint()) : std::nullopt;
 }
@@ -163,7 +154,7 @@
   if (const auto* reloaded = std::get_if<Reloaded>(&event)) {
     manager_.configure(now(), reloaded->door);
     manager_.configure(now(), reloaded->queues);
-    return follow(reloaded->feed);
+    return feed_->follow(reloaded->feed);
   }
   if (const auto* part = std::get_if<FleetTold>(&event)) {
     allowed_ = part->allowed;
@@ -194,16 +185,17 @@
   }
 }
 
-// Answers that are queued still leave; a client that does not read them does not hold up the end.
+// In this order: nobody more is accepted; what has been read is answered, by now with a refusal; what is
+// queued leaves; the connections are half closed, so that none is reset upon its last answers. A client that
+// does not read them, or never stops asking, does not hold up the end.
 void Server::close_sessions() {
-  for (auto& [id, session] : sessions_) session->finish();
+  if (listener_) undertaker_.bury(std::move(listener_));
   const Time until = now() + kLastWrites;
-  while (!sessions_.empty() && now() < until) {
-    for (auto& event : inbox_.take_until(until)) {
-      const auto* told = std::get_if<manager::Event>(&event);
-      const auto* ended = told ? std::get_if<manager::SessionEnded>(told) : nullptr;
-      if (ended) sessions_.erase(ended->session);
-    }
+  bool first = true;  // a connection accepted last may wait in the inbox
+  while ((std::exchange(first, false) || !sessions_.empty()) && now() < until) {
+    for (auto& [id, session] : sessions_) session->finish_if_settled();
+    for (auto& event : inbox_.take_until(std::min(until, now() + kLastLooks))) take(std::move(event));
+    manager_.tick(now());
   }
 }
 
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -34,7 +34,6 @@
  private:
   void run();
   void take(DriverEvent event);
-  void follow(const std::optional<config::Endpoint>& feed);
   void note_if_slow(Time began, std::size_t events);
   void close_sessions();
   void open_gate();
@@ -54,6 +53,8 @@
   void answer_quote(manager::SessionId session, manager::CallId call, const queues::Quote& quote) override;
   void close(manager::SessionId session) override;
   bool close_idle(manager::SessionId session) override;
+  void finish(manager::SessionId session) override;
+  bool has_left(manager::SessionId session) override;
 
   void open(manager::LinkId link, const config::Endpoint& endpoint, Time deadline) override;
   void send(manager::LinkId link, manager::SendTag tag, EngineRequest request) override;
@@ -80,8 +81,6 @@
   std::map<manager::LinkId, std::shared_ptr<EngineLink>> links_;           // the core's thread only
   Time next_slow_note_{};
   manager::Manager manager_;
-  std::optional<config::Endpoint> followed_;  // the core's thread only, as is the follower
-  std::uint64_t last_event_ = 0;
   std::unique_ptr<FeedFollower> feed_;
   Gate gate_;
   std::unique_ptr<Listener> listener_;
--- a/src/net/server_ports.cpp
+++ b/src/net/server_ports.cpp
@@ -43,6 +43,15 @@
   return s && s->break_off_idle();
 }
 
+void Server::finish(manager::SessionId session) {
+  if (auto* s = find(session)) s->finish();
+}
+
+bool Server::has_left(manager::SessionId session) {
+  const auto* s = find(session);
+  return s && s->client_has_left();
+}
+
 void Server::open(manager::LinkId link, const config::Endpoint& endpoint, Time deadline) {
   const auto opened = std::make_shared<EngineLink>(link, endpoint, deadline, config_.real.report_fields,
                                                    inbox_, writer_, manager_.figures());
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/time.h>
@@ -33,6 +34,27 @@
   setsockopt(fd, SOL_SOCKET, option, &value, sizeof value);
 }
 
+// What Linux documents for a lack on this side; all else is the peer's or the network's word.
+ConnectFailure failure_of(int error) {
+  switch (error) {
+    case EMFILE:
+    case ENFILE:
+    case ENOBUFS:
+    case ENOMEM:
+    case EADDRNOTAVAIL:
+    case EADDRINUSE:
+    case EAGAIN:
+    case ENETUNREACH:
+    case ENETDOWN:
+      return {std::strerror(error), true};
+    default:
+      return {std::strerror(error), false};
+  }
+}
+
+// For now there is no room, or no memory: to be tried again, and no end of a connection.
+bool is_passing(int error) { return error == EAGAIN || error == ENOBUFS || error == ENOMEM; }
+
 void send_at_once(int fd) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -46,53 +68,45 @@
 
 void raise_event(const Fd& event) {
   const std::uint64_t one = 1;
-  [[maybe_unused]] const auto written = ::write(event.get(), &one, sizeof one);
-}
-
-bool Socket::open_new(int type) {
-  const std::lock_guard lock(mutex_);
-  if (broken_) return false;
-  fd_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | type, 0));
-  return true;
+  while (::write(event.get(), &one, sizeof one) < 0 && errno == EINTR) {
+  }
 }
 
-bool Socket::connect(const config::Endpoint& endpoint, Time deadline, std::string* why) {
-  if (!open_new(0)) return false;
-  const int fd = fd_.get();
-  const sockaddr_in address = address_of(endpoint);
-  bool up = false;
-  if (fd >= 0) {
-    bound_by(fd, SO_SNDTIMEO, deadline);
-    up = ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+bool Socket::connect(const config::Endpoint& endpoint, Time deadline, ConnectFailure* failure) {
+  const Begun begun = begin_connect(endpoint, failure);
+  if (begun != Begun::pending) return begun == Begun::up;
+  pollfd writable{fd_.get(), POLLOUT, 0};
+  while (true) {
+    const int ready = ::poll(&writable, 1, milliseconds_until(deadline));
+    if (ready > 0) return finish_connect(failure);
+    if (ready < 0 && errno != EINTR) return *failure = {std::strerror(errno), true}, false;
+    if (now() >= deadline) return *failure = {"not up in time", false}, false;
   }
-  if (!up) {
-    *why = errno == EINPROGRESS ? "not up in time" : std::strerror(errno);
-    return false;
-  }
-  const timeval forever{0, 0};
-  setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &forever, sizeof forever);
-  send_at_once(fd);
-  return true;
 }
 
-Socket::Begun Socket::begin_connect(const config::Endpoint& endpoint, std::string* why) {
-  if (!open_new(SOCK_NONBLOCK)) return Begun::failed;
+// The descriptor is opened and the connection begun under the lock: break_off() comes before either, and
+// nothing is begun, or after both, and ends it.
+Socket::Begun Socket::begin_connect(const config::Endpoint& endpoint, ConnectFailure* failure) {
+  const std::lock_guard lock(mutex_);
+  if (broken_) return *failure = {"broken off", false}, Begun::failed;
+  fd_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  if (!fd_) return *failure = {std::strerror(errno), true}, Begun::failed;
   const sockaddr_in address = address_of(endpoint);
-  const int fd = fd_.get();
-  if (fd >= 0 && ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0)
-    return finish_connect(why) ? Begun::up : Begun::failed;
-  if (fd >= 0 && errno == EINPROGRESS) return Begun::pending;
-  *why = std::strerror(errno);
+  const int begun = ::connect(fd_.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address);
+  if (begun == 0) return finish_connect(failure) ? Begun::up : Begun::failed;
+  // Interrupted, it goes on by itself; a second call would fail with EALREADY.
+  if (errno == EINPROGRESS || errno == EINTR) return Begun::pending;
+  *failure = failure_of(errno);
   return Begun::failed;
 }
 
-bool Socket::finish_connect(std::string* why) {
+bool Socket::finish_connect(ConnectFailure* failure) {
   const int fd = fd_.get();
   int error = 0;
   socklen_t size = sizeof error;
   if (::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0) error = errno;
   if (error == 0 && ::fcntl(fd, F_SETFL, ::fcntl(fd, F_GETFL) & ~O_NONBLOCK) != 0) error = errno;
-  if (error != 0) *why = std::strerror(error);
+  if (error != 0) *failure = failure_of(error);
   if (error == 0) send_at_once(fd);
   return error == 0;
 }
@@ -103,7 +117,7 @@
   char first = 0;
   const auto got = receive(&first, 1, deadline, MSG_PEEK);
   if (got > 0) return Waited::something;
-  return got < 0 && errno == EAGAIN ? Waited::nothing : Waited::ended;
+  return got < 0 && is_passing(errno) ? Waited::nothing : Waited::ended;
 }
 
 std::size_t Socket::read_until(char* into, std::size_t size, Time deadline) {
@@ -114,8 +128,9 @@
   const std::lock_guard lock(mutex_);
   while (!broken_) {
     const ssize_t got = ::recv(fd_.get(), into, size, MSG_DONTWAIT);
+    if (got > 0 && finished_) return std::nullopt;
     if (got >= 0) return static_cast<std::size_t>(got);
-    if (errno == EAGAIN) return std::nullopt;
+    if (is_passing(errno)) return std::nullopt;
     if (errno != EINTR) return 0;
   }
   return 0;
@@ -127,7 +142,7 @@
     const ssize_t sent =
         ::send(fd_.get(), bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL | MSG_DONTWAIT);
     if (sent < 0 && errno == EINTR) continue;
-    if (sent < 0 && errno == EAGAIN) break;
+    if (sent < 0 && is_passing(errno)) break;
     if (sent < 0) return std::nullopt;
     done += static_cast<std::size_t>(sent);
   }
@@ -164,6 +179,20 @@
   return fd_ && ::ioctl(fd_.get(), FIONREAD, &bytes) == 0 && bytes > 0;
 }
 
+bool Socket::peer_has_closed() const {
+  pollfd peer{fd_.get(), POLLRDHUP, 0};
+  while (::poll(&peer, 1, 0) < 0) {
+    if (errno != EINTR) return false;
+  }
+  return (peer.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+void Socket::finish_writing() {
+  const std::lock_guard lock(mutex_);
+  finished_ = true;
+  if (fd_ && !broken_) ::shutdown(fd_.get(), SHUT_WR);
+}
+
 void Socket::break_off() {
   const std::lock_guard lock(mutex_);
   broken_off();
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -32,6 +32,13 @@
 // Makes an eventfd readable: whoever waits on it goes on.
 void raise_event(const Fd& event);
 
+// Why a connection did not come up. `local`: this machine had no descriptor, port, buffer or route for it
+// just then, which tells nothing of the peer, and nothing has left.
+struct ConnectFailure {
+  std::string why;
+  bool local = false;
+};
+
 // A connected socket that one thread reads, one writes and a third may break off. The descriptor itself is
 // closed only with the object, when no thread uses it any more.
 class Socket {
@@ -39,11 +46,11 @@
   Socket() = default;
   explicit Socket(Fd fd) : fd_(std::move(fd)) {}
 
-  bool connect(const config::Endpoint& endpoint, Time deadline, std::string* why);
+  bool connect(const config::Endpoint& endpoint, Time deadline, ConnectFailure* failure);
   // The same without waiting: begins, and once the descriptor can be written tells how it went.
   enum class Begun { up, pending, failed };
-  Begun begin_connect(const config::Endpoint& endpoint, std::string* why);
-  bool finish_connect(std::string* why);
+  Begun begin_connect(const config::Endpoint& endpoint, ConnectFailure* failure);
+  bool finish_connect(ConnectFailure* failure);
   // Waits until there is something to read; it stays in the socket. `nothing`: none came, and the connection
   // stands; it may be told a moment before `deadline`, as some kernels end a bounded wait early.
   enum class Waited { something, nothing, ended };
@@ -56,11 +63,17 @@
   std::optional<std::size_t> read_now(char* into, std::size_t size);
   enum class Written { all, some, none };
   Written write(std::string_view bytes);  // some: broken, and some of it may have left; none: nothing has
-  // What the socket takes without waiting, in bytes; nullopt: it is broken.
+  // What the socket takes without waiting, in bytes; nullopt: it is broken. A lack of buffers is no break: it
+  // takes less, or nothing, for now.
   std::optional<std::size_t> write_now(std::string_view bytes);
   int descriptor() const { return fd_.get(); }  // to wait on; not to be read, written or closed
   void break_off();                             // whoever reads or writes returns
-  bool broken_off_here() {                      // by break_off(), not by the peer
+  // Has the peer closed its side, or reset the connection, though bytes of it may still be unread?
+  bool peer_has_closed() const;
+  // Nothing more is written, and the peer learns that. What it still sends is read and dropped, so that
+  // closing the descriptor does not reset a connection on which answers are on their way.
+  void finish_writing();
+  bool broken_off_here() {  // by break_off(), not by the peer
     const std::lock_guard lock(mutex_);
     return broken_;
   }
@@ -75,7 +88,6 @@
   }
 
  private:
-  bool open_new(int type);
   bool unread() const;
   void broken_off();
   // As recv() tells it: below 0 with errno, EAGAIN where nothing came by `deadline`.
@@ -84,7 +96,8 @@
   std::mutex mutex_;
   Fd fd_;
   bool broken_ = false;
-  bool bounded_ = false;  // the reader's own: does a deadline bound its reads?
+  bool finished_ = false;  // guarded: finish_writing() was called
+  bool bounded_ = false;   // the reader's own: does a deadline bound its reads?
 };
 
 Fd listen_on(const config::Endpoint& endpoint);  // throws std::system_error
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -94,22 +94,22 @@
     : addresses_(std::move(addresses), seed, spread) {}
 
 // The one that was kept open, if the store has not closed it meanwhile; else a new one.
-net::Socket* Client::connected(net::Time deadline, std::string* why) {
+net::Socket* Client::connected(net::Time deadline, net::ConnectFailure* failure) {
   char stray = 0;
   if (net::Socket* kept = connection_.get(); kept && !kept->read_now(&stray, 1)) return kept;
   net::Socket* fresh = connection_.renew();
-  *why = "stopped";
-  return fresh && fresh->connect(addresses_.current(), deadline, why) ? fresh : nullptr;
+  failure->why = "stopped";
+  return fresh && fresh->connect(addresses_.current(), deadline, failure) ? fresh : nullptr;
 }
 
 Reply Client::ask(const Request& request, net::Time deadline) {
   if (net::now() < addresses_.not_before()) return Failed{"the store is away", false};
-  std::string why;
-  net::Socket* socket = connected(deadline, &why);
+  net::ConnectFailure failure;
+  net::Socket* socket = connected(deadline, &failure);
   if (!socket) {
     connection_.drop();
     addresses_.failed(net::now());
-    return Failed{why, false};
+    return Failed{failure.why, false};
   }
   const Call call = encode(request);
   const std::string bytes = http_of(call, addresses_.current());
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -49,7 +49,7 @@
   void stop() { connection_.stop(); }  // whatever is being asked ends at once, and all that follows
 
  private:
-  net::Socket* connected(net::Time deadline, std::string* why);
+  net::Socket* connected(net::Time deadline, net::ConnectFailure* failure);
 
   Addresses addresses_;
   Stoppable connection_;
--- a/src/store/watcher.cpp
+++ b/src/store/watcher.cpp
@@ -36,10 +36,10 @@
 bool Watcher::open(const Watch& watch, const config::Endpoint& at, net::Time deadline) {
   close();
   net::Socket* socket = connection_.renew();
-  std::string why;
+  net::ConnectFailure failure;
   const std::string bytes = http_of(encode(watch), at);
   // a call of some hundred bytes fits what a new connection takes at once
-  if (socket && socket->connect(at, deadline, &why) && socket->write_now(bytes) == bytes.size())
+  if (socket && socket->connect(at, deadline, &failure) && socket->write_now(bytes) == bytes.size())
     parser_ = std::make_unique<Parser>();
   else
     connection_.drop();
--- a/tests/node/helper.h
+++ b/tests/node/helper.h
@@ -87,6 +87,7 @@
   Time now{Duration(1000s)};
   manager::Budget budget{1 << 20};
   std::map<std::pair<manager::SessionId, manager::CallId>, std::vector<Reply>> replies;
+  std::set<manager::SessionId> gone;  // have closed, and the core has not heard of it yet
   std::set<manager::SessionId> busy;  // something has come from them that the core has not heard yet
   std::set<manager::LinkId> links;
   std::map<manager::LinkId, std::string> where;
@@ -157,6 +158,10 @@
     close(s);
     return true;
   }
+  void finish(manager::SessionId s) override {
+    said.push_back("finish " + std::to_string(static_cast<int>(s)));
+  }
+  bool has_left(manager::SessionId s) override { return gone.count(s) > 0; }
   void open(manager::LinkId link, const config::Endpoint& at, Time) override {
     links.insert(link), where[link] = to_string(at), said.push_back("open " + to_string(at));
   }
--- /dev/null
+++ b/tests/node/net_faults_test.cpp
@@ -0,0 +1,217 @@
+// System calls that fail as Linux documents, from fixed seeds, and files that fail at every call and byte.
+// What counts is what clients and engines saw, and what a reader of the file finds.
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+#include "net/hand_over.h"
+#include "net_fickle.h"
+#include "net_reading.h"
+
+namespace yokestream::test {
+namespace {
+
+// Whatever a test does, the next one finds a system that works.
+struct Failing {
+  Failing() { spared = true; }  // the test's own calls
+  ~Failing() {
+    passing_failures = 0, breaks = 0, breaking_port = 0;
+    polls_interrupted = false;
+    connect_failures.left = 0;
+    file_failures.fails_at = 0, file_failures.bytes_left = -1;
+    spared = false;
+  }
+};
+
+std::string id_of(std::uint32_t seed, std::uint32_t number) {
+  char id[17];
+  std::snprintf(id, sizeof id, "%08x%08x", seed, number);
+  return id;
+}
+
+// Some clients that ask and listen in turns; each hears one answer to each request, and no engine sees one
+// more than four times.
+void ask_through(std::uint32_t seed, Fickle& engine, Running& running) {
+  Steps steps(seed);
+  std::vector<std::unique_ptr<Asking>> clients;
+  for (int i = 0; i < 6; ++i) clients.push_back(std::make_unique<Asking>(running.server->endpoint()));
+  std::uint32_t asked = 0;
+  for (int i = 0; i < 300; ++i) {
+    Asking& client = *clients[steps.below(clients.size())];
+    if (client.open.size() < 6 && steps.below(3) > 0 && client.last < 100) {
+      client.cls = steps.below(4) == 0 ? "load" : "look";
+      client.ask(id_of(seed, ++asked), steps.below(3000));
+    } else if (!client.open.empty()) {
+      REQUIRE(client.hear());
+    }
+  }
+  for (const auto& client : clients) {
+    while (!client->open.empty()) REQUIRE(client->hear());
+  }
+  for (std::uint32_t number = 1; number <= asked; ++number)
+    REQUIRE(engine.seen().begin_with(id_of(seed, number)).size() <= 4);
+}
+
+TEST_CASE_FIXTURE(Failing, "calls that fail for a moment lose no answer and no connection") {
+  for (std::uint32_t seed = 1; seed <= 6; ++seed) {
+    CAPTURE(seed);
+    Fickle engine(seed);
+    Running running(engine.at());
+    const long before = failures_met;
+    passing_failures = 10 * (1 + seed % 3);
+    ask_through(seed, engine, running);
+    passing_failures = 0;
+    CHECK(failures_met > before + 50);
+    CHECK(running.log.times("requests open") == 0);  // no client was closed upon what it had open
+  }
+}
+
+TEST_CASE_FIXTURE(Failing,
+                  "connections to engines that break by time-out or an unreachable host lose no answer") {
+  for (std::uint32_t seed = 11; seed <= 12; ++seed) {
+    CAPTURE(seed);
+    Fickle engine(seed, true);
+    Running running(engine.at());
+    breaking_port = engine.at().port;
+    breaks = 20;
+    ask_through(seed, engine, running);
+    breaks = 0;
+  }
+}
+
+// Its attempts were used up, the engine was taken for a bad one, and the request was refused.
+TEST_CASE_FIXTURE(Failing,
+                  "a lack of ports, routes or buffers for a moment costs no attempt and no good name") {
+  for (const int error : {EADDRNOTAVAIL, ENETUNREACH, EAGAIN, ENOBUFS}) {
+    CAPTURE(error);
+    Fickle engine(1, true);
+    Running running(engine.at());
+    connect_failures.error = error;
+    connect_failures.left = 12;
+    Asking client(running.server->endpoint());
+    client.ask(id_of(1, 1), 10);
+    REQUIRE(client.hear());
+    CHECK(client.served);
+    CHECK(connect_failures.left <= 0);
+    CHECK(engine.requests() == 1);
+    connect_failures.left = 0;
+  }
+}
+
+TEST_CASE_FIXTURE(Failing, "a connect that is interrupted goes on by itself, and is not begun again") {
+  Listening engine;
+  Running running(engine.at);
+  connect_failures.error = EINTR;
+  connect_failures.left = 1;
+  Asking client(running.server->endpoint());
+  client.ask(id_of(1, 1), 10);
+  Peer link = engine.accept();
+  CHECK(link.until(id_of(1, 1)));  // on the first connection that came
+  CHECK(connect_failures.left <= 0);
+}
+
+// Another process served there, and this one took its clients before its yes.
+TEST_CASE_FIXTURE(Failing, "a wait that is interrupted is no opened gate: nobody is accepted before") {
+  Reading reading(0);
+  manager::Budget slots(10);
+  net::Gate gate;
+  polls_interrupted = true;
+  net::Listener listener(reading.config, gate, slots, reading.budget, reading.inbox, reading.readers,
+                         reading.log);
+  Peer client(listener.endpoint());
+  const long cut = polls_cut;
+  while (polls_cut < cut + 1000) std::this_thread::yield();
+  CHECK(reading.inbox.take_until(net::now()).empty());
+  polls_interrupted = false;
+  gate.open();
+  const auto told = reading.inbox.take_until(Time::max());
+  REQUIRE(told.size() == 1);
+  CHECK(std::holds_alternative<net::Accepted>(told[0]));
+  reading.inbox.close();
+}
+
+// ---- the file by which a process hands on what it has learnt
+
+struct HandingOver : Failing, config::RealSettings, manager::Log {
+  HandingOver() {
+    classes = {"look", "load"}, kinds = {"m"};
+    REQUIRE(::mkdtemp(path.data()));
+    write(1);
+    const auto first = read();
+    REQUIRE(first.has_value());
+    size = std::filesystem::file_size(path + "/yokestream-learnt");
+  }
+  ~HandingOver() override { std::filesystem::remove_all(path); }
+  void note(std::string_view line) override { notes.emplace_back(line); }
+  static lynxstand::Learnt value(double n) {
+    lynxstand::Learnt l;
+    l.pool.own_seen = n, l.pool.all_seen = n, l.pool.mean_work = n;
+    l.classes.resize(2);
+    l.kinds = {{{n, n}, {n, n}}};
+    return l;
+  }
+  // On the caller's thread, to its end.
+  void write(double n) {
+    net::HandOver out(path, 0, *this);
+    out.write_now(value(n));
+  }
+  std::optional<learnt::Inherited> read() { return net::HandOver::read(path, *this, *this); }
+  double held() {
+    const auto got = read();
+    REQUIRE(got.has_value());
+    return got->learnt.pool.mean_work;
+  }
+  std::string path = (std::filesystem::temp_directory_path() / "yokestream-XXXXXX").string();
+  std::vector<std::string> notes;
+  std::size_t size = 0;
+};
+
+TEST_CASE_FIXTURE(HandingOver, "a write that fails at any call leaves the old value or the new one, whole") {
+  for (const int error : {ENOSPC, EIO}) {
+    for (long call = 1; call <= 4; ++call) {  // write, sync, rename, sync of the folder
+      CAPTURE(call);
+      write(1);
+      file_failures.calls = 0, file_failures.error = error, file_failures.fails_at = call;
+      write(2);
+      file_failures.fails_at = 0;
+      CHECK(held() == (call <= 3 ? 1 : 2));
+      write(3);  // the trouble has passed
+      CHECK(held() == 3);
+    }
+  }
+  CHECK(notes.empty());
+}
+
+TEST_CASE_FIXTURE(HandingOver,
+                  "a file system that is full after any byte leaves the old value, and no rest") {
+  for (std::size_t bytes = 0; bytes < size; ++bytes) {
+    file_failures.bytes_left = static_cast<long>(bytes);
+    write(2);
+    file_failures.bytes_left = -1;
+    REQUIRE(held() == 1);
+    const auto files = std::distance(std::filesystem::directory_iterator(path), {});
+    REQUIRE(files == 1);
+  }
+}
+
+// A process that is killed in the middle of its write leaves its own file so.
+TEST_CASE_FIXTURE(HandingOver,
+                  "a file that a kill left half written at any byte is read as nothing, or not at all") {
+  std::string whole(size, '\0');
+  std::ifstream(path + "/yokestream-learnt", std::ios::binary).read(whole.data(), static_cast<long>(size));
+  for (std::size_t bytes = 0; bytes < size; ++bytes) {
+    std::ofstream(path + "/yokestream-learnt-0", std::ios::binary) << whole.substr(0, bytes);
+    REQUIRE(held() == 1);  // beside the whole one it counts for nothing
+    std::ofstream(path + "/yokestream-learnt", std::ios::binary) << whole.substr(0, bytes);
+    REQUIRE_FALSE(read().has_value());  // in its place, as after a crash of the machine
+    std::ofstream(path + "/yokestream-learnt", std::ios::binary) << whole;
+  }
+}
+
+}  // namespace
+}  // namespace yokestream::test
