--- a/src/migration/check_plan.cpp
+++ b/src/migration/check_plan.cpp
@@ -55,9 +55,9 @@
   for (std::size_t i = 0; i < plan.moves.size(); ++i)
     if (std::find(movable.begin(), movable.end(), plan.moves[i].area) == movable.end())
       problems.push_back(item("moves", i) + ".area: not among fleet.areas of the operator file");
-  for (const auto& [name, origin] : plan.origins)
-    if (std::none_of(engines.begin(), engines.end(), [&](const auto& e) { return origin.takes(e); }))
-      problems.push_back("origins." + name + ": no engine matches it");
+  for (const auto& named : plan.origins)
+    if (std::none_of(engines.begin(), engines.end(), [&](const auto& e) { return named.second.takes(e); }))
+      problems.push_back("origins." + named.first + ": no engine matches it");
 }
 
 }  // namespace yokestream::migration
--- a/src/migration/read_plan.cpp
+++ b/src/migration/read_plan.cpp
@@ -26,7 +26,7 @@
   void fail(const std::string& key, const std::string& why) { problems_.push_back(path(key) + ": " + why); }
   std::string name(const std::string& key) {
     const Json::Value& v = at(key);
-    const std::string text = v.isString() ? v.asString() : "";
+    std::string text = v.isString() ? v.asString() : "";
     if (text.empty() || text.size() > kMostName ||
         text.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_") !=
             std::string::npos)
--- a/src/standin/door_measure.cpp
+++ b/src/standin/door_measure.cpp
@@ -198,7 +198,7 @@
       "us, "
       "faults %llu\n",
       holds ? "holds" : "falls short", souss, atlas, harm, on.last_mb - on.first_mb, let_in,
-      cost.microseconds, static_cast<unsigned long long>(on.faults + off.faults + alone.faults));
+      cost.microseconds, 0ULL + on.faults + off.faults + alone.faults);
   return holds;
 }
 
@@ -210,9 +210,8 @@
               "MB 1st", "MB last", "cpu s");
   print("flood, door on", r);
   std::printf("of the flood's %llu first tries %llu were served; %llu answers told when to come back\n",
-              static_cast<unsigned long long>(r.heeding.first + r.ignoring.first),
-              static_cast<unsigned long long>(r.heeding.served + r.ignoring.served),
-              static_cast<unsigned long long>(r.heeding.refused + r.ignoring.refused));
+              0ULL + r.heeding.first + r.ignoring.first, 0ULL + r.heeding.served + r.ignoring.served,
+              0ULL + r.heeding.refused + r.ignoring.refused);
   return r.ratio[0] > 0;
 }
 
--- a/src/standin/fleet_engines.cpp
+++ b/src/standin/fleet_engines.cpp
@@ -71,8 +71,8 @@
     if (e.silent) continue;
     const EngineAnswer answer = served_answer(*e.model, ended);
     Seat& to = *seats_[seat];
-    later(now_ + kWire, [&to, link, answer, life = to.life] {
-      to.over(link, life, manager::Answered{manager::LinkId{link}, answer});
+    later(now_ + kWire, [&to, on = link, answer, life = to.life] {
+      to.over(on, life, manager::Answered{manager::LinkId{on}, answer});
     });
   }
   reschedule(engine);
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -7,6 +7,7 @@
 #include "standin/door_measure.h"
 #include "standin/duty_measure.h"
 #include "standin/fleet_situations.h"
+#include "standin/growth_measure.h"
 #include "standin/migration_measure.h"
 #include "standin/pool.h"
 #include "standin/scenarios.h"
@@ -87,6 +88,12 @@
   migration_command->add_option("--seed", seed, "for all random numbers");
   migration_command->add_option("--seconds", seconds, "not used: the clock is virtual");
   migration_command->callback([&] { status = standin::measure_migration(seed) ? 0 : 1; });
+  standin::GrowthSettings growth;
+  auto* growth_command = app.add_subcommand("growth", "Play one manager of a fleet of a given size");
+  growth_command->add_option("--engines", growth.engines, "in all")->check(CLI::Range(10, 4000));
+  growth_command->add_option("--managers", growth.managers, "in all")->check(CLI::Range(1, 2000));
+  growth_command->add_option("--seed", growth.seed, "for all random numbers");
+  growth_command->callback([&] { standin::play_growth(growth); });
   auto* demo_command =
       app.add_subcommand("demo", "Show the manager serving, with engines and clients of ours");
   demo_command->add_option("--program", program, "the yokestream program")->required();
