--- a/src/net/queue.h
+++ b/src/net/queue.h
@@ -19,7 +19,9 @@
 
   void post(Event event) {
     std::unique_lock lock(mutex_);
+    ++waiting_;
     room_.wait(lock, [&] { return events_.size() < bound_ || closed_; });
+    --waiting_;
     if (closed_) return;
     events_.push_back(std::move(event));
     if (events_.size() == 1) news_.notify_one();
@@ -37,6 +39,10 @@
     room_.notify_all();
     return taken;
   }
+  std::size_t waiting() {  // writers that wait for room
+    const std::lock_guard lock(mutex_);
+    return waiting_;
+  }
   void close() {  // writers wait no more; what they post is dropped
     const std::lock_guard lock(mutex_);
     closed_ = true;
@@ -48,6 +54,7 @@
   std::mutex mutex_;
   std::condition_variable news_, room_;
   std::deque<Event> events_;
+  std::size_t waiting_ = 0;
   bool closed_ = false;
 };
 
--- /dev/null
+++ b/tests/processes/restart_test.cpp
@@ -0,0 +1,67 @@
+// A planned restart of the real program, with what is on its way just then: half a request, words told twice.
+#include <doctest/doctest.h>
+#include <signal.h>
+
+#include "crowd.h"
+#include "program.h"
+
+namespace yokestream::test {
+namespace {
+
+struct Restarting {
+  Folder folder;
+  Fickle engine{0, true};
+  Program program{folder, config_text("127.0.0.1:0", to_string(engine.at())), -1};
+  Peer client{program.serves_on()};
+  const std::string request = call(1, "0123456789abcdef", "select 1");
+};
+
+TEST_CASE_FIXTURE(
+    Restarting,
+    "a request half read at SIGTERM is served once it is whole, and its client sees a clean end") {
+  client.say(request.substr(0, 20));
+  program.tell(SIGTERM);
+  REQUIRE(program.until("told to end"));
+  client.say(request.substr(20));
+  CHECK(client.until("a\tb\t0123456789abcdef\n"));
+  CHECK_FALSE(client.until("anything"));
+  CHECK(program.ended() == 0);
+}
+
+TEST_CASE_FIXTURE(Restarting, "SIGTERM told twice, and SIGHUP in the drain, change nothing of the end") {
+  client.say(request.substr(0, 20));
+  program.tell(SIGTERM);
+  REQUIRE(program.until("told to end"));
+  program.tell(SIGTERM);
+  program.tell(SIGHUP);
+  client.say(request.substr(20));
+  CHECK(client.until("a\tb\t0123456789abcdef\n"));
+  CHECK(program.until("ended"));
+  CHECK(program.ended() == 0);
+}
+
+TEST_CASE_FIXTURE(Restarting, "half a request that never becomes whole does not hold up the end") {
+  client.say(request.substr(0, 20));
+  program.tell(SIGTERM);
+  CHECK(program.until("ended"));
+  CHECK(program.ended() == 0);
+  CHECK_FALSE(client.until("anything"));
+}
+
+TEST_CASE_FIXTURE(Restarting, "reloads in quick succession cost no answer and no connection") {
+  Crowd crowd(program.serves_on(), 3);
+  crowd.wait_for(20);
+  for (int i = 0; i < 40; ++i) {
+    program.tell(SIGHUP);
+    crowd.wait_for(1);
+  }
+  crowd.finish();
+  CHECK(crowd.lost == 0);
+  CHECK(crowd.turned_back == 0);
+  program.tell(SIGTERM);
+  CHECK(program.until("ended"));
+  CHECK(program.ended() == 0);
+}
+
+}  // namespace
+}  // namespace yokestream::test
