A client that is read no more and reads nothing either goes in the end

Seen by reading the change again: wait_for_end() (client_reading.cpp) counted only from when all answers had left, so a client that sends what is no message and reads no answers kept its descriptor for good. Now 2.2 s after it is let go, or 0.5 s after all has left. Test: red without the line (client never ended). net_crossing_test and net_client_test pass, 16 cases.

--- a/src/net/client_reading.cpp
+++ b/src/net/client_reading.cpp
@@ -15,6 +15,7 @@
 constexpr Duration kLookAgain = std::chrono::milliseconds(10);     // for a turn, or for the core to take some
 constexpr Duration kReaderIdle = std::chrono::milliseconds(1000);  // then a reader of its own is too much
 constexpr Duration kEndLooks = std::chrono::milliseconds(50);      // at a client that is read no more
+constexpr Duration kLastAnswers = std::chrono::milliseconds(2200);
 constexpr Duration kLinger = std::chrono::milliseconds(500);
 
 }  // namespace
@@ -145,10 +146,12 @@
   return Look::later;
 }
 
-// Its last answers have `kLinger` to reach it, then the connection goes whether it reads them or not.
+// Its last answers have a while to leave, and `kLinger` more to reach it; then the connection goes whether it
+// reads them or not. Guards the descriptors against a client that never does.
 Watched::Look ClientSession::wait_for_end(Time now) {
   if (socket_.broken_off_here() || socket_.peer_has_closed()) return Look::ended;
-  if (sender_.finished() && end_by_ == Time::max()) end_by_ = now + kLinger;
+  if (sender_.finishing() && end_by_ == Time::max()) end_by_ = now + kLastAnswers;
+  if (sender_.finished()) end_by_ = std::min(end_by_, now + kLinger);
   if (now >= end_by_) return Look::ended;
   due_ = now + kEndLooks;
   return Look::later;
--- a/src/net/sender.h
+++ b/src/net/sender.h
@@ -81,7 +81,11 @@
     finishing_ = true;
     if (left()) socket_.finish_writing();
   }
-  bool finished() {  // finish() was called, and all has left
+  bool finishing() {  // finish() was called
+    const std::lock_guard lock(mutex_);
+    return finishing_;
+  }
+  bool finished() {  // and all has left
     const std::lock_guard lock(mutex_);
     return finishing_ && left();
   }
--- a/tests/node/net_crossing_test.cpp
+++ b/tests/node/net_crossing_test.cpp
@@ -109,6 +109,19 @@
     CHECK((std::get<manager::Arrived>(std::get<manager::Event>(event)).deadline <= paused + 4s));
 }
 
+TEST_CASE_FIXTURE(HeldClient, "a client that is read no more and reads nothing either goes in the end") {
+  client->say("\x05");
+  wait_for_bytes(descriptor);
+  const Time stopped = net::now();
+  CHECK((session->look(stopped, true) == net::Watched::Look::later));
+  for (manager::CallId call = 1; call <= 200; ++call) session->serve(call, {std::string(40'000, 'a'), {}});
+  CHECK(
+      (session->look(stopped + 10s, false) == net::Watched::Look::later));  // the core has not let it go yet
+  session->finish();
+  CHECK((session->look(stopped + 11s, false) == net::Watched::Look::later));
+  CHECK((session->look(stopped + 14s, false) == net::Watched::Look::ended));
+}
+
 TEST_CASE_FIXTURE(HeldClient, "a session is not finished upon a message that the core has not taken") {
   client->say(call(1, "0123456789abcde1", "select 1"));
   wait_for_bytes(descriptor);
