--- a/review/3/case.py
+++ b/review/3/case.py
@@ -28,11 +28,14 @@
     reader, writer = await asyncio.open_connection(HOST, port)
     writer.write(requests)
     record.write(name, "sent", requests=REQUESTS_AT_ONCE)
+    answered = 0
     try:
-        while await reader.read(65536):
-            pass
+        while data := await reader.read(65536):
+            answered += len(data)
     except ConnectionError:
         pass
+    finally:
+        record.write(name, "ends", answered_bytes=answered)
 
 
 async def usual_client(record, port, stop):
