A pause no longer leaves a busy client's arrival time in the past

Cause: bytes that come while reading is paused count as arrived when the pause began, and only a read that finds nothing ends that state. The reader thread of a busy client reads only when the socket is readable, so none of its reads found nothing; deadlines and the time limit of an incomplete message were counted from the burst.

Fix: after a pause the reader thread reads until nothing is left before it waits again. The log line keeps since_assumed_arrival_ms.

--- a/src/net/client_reading.cpp
+++ b/src/net/client_reading.cpp
@@ -23,6 +23,10 @@
 constexpr Duration kLastResponsesTimeout = std::chrono::milliseconds(2200);
 constexpr Duration kLingerTimeout = std::chrono::milliseconds(500);
 
+std::string milliseconds_text(Duration duration) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 }  // namespace
 
 // Decodes messages until the queue is full. A malformed message stops the reading of this client, after the
@@ -35,14 +39,13 @@
     if (std::holds_alternative<protocol::OtherNotice>(*message))
       protocol_error_ = "unknown notification";
     else
-      messages_.push(std::move(*message), last_read_at_);
+      messages_.push(std::move(*message), arrival_clock_.arrived_at());
   }
 } catch (const protocol::ProtocolError& error) {
   protocol_error_ = error.what();
 }
 
 // Reads what is available in a few reads, so that a cancellation is often read together with its request.
-// Bytes that came while reading was paused may be old; they are taken to have arrived when the pause began.
 ClientSession::ReadOutcome ClientSession::read_available() {
   std::array<char, kReadBytes> bytes;
   ReadOutcome outcome = ReadOutcome::would_block;
@@ -50,11 +53,11 @@
     const auto size = socket_.try_read(bytes.data(), bytes.size());
     if (size == 0) return ReadOutcome::closed;
     if (!size) {
-      unread_since_.reset();
+      arrival_clock_.on_nothing_unread();
       break;
     }
     outcome = ReadOutcome::data;
-    last_read_at_ = unread_since_.value_or(now());
+    arrival_clock_.on_bytes_read(now());
     reader_.feed({bytes.data(), *size});
     if (*size < bytes.size()) break;
   }
@@ -73,7 +76,7 @@
     message_deadline_ = Time::max();
     partial_message_reservation_ = {};
   } else if (message_deadline_ == Time::max()) {
-    message_deadline_ = last_read_at_ + kMessageTimeout;
+    message_deadline_ = arrival_clock_.arrived_at() + kMessageTimeout;
   }
   return pending <= reserved || memory_budget_.try_reserve(partial_message_reservation_, pending - reserved);
 }
@@ -92,7 +95,7 @@
 }
 
 Pollable::PollResult ClientSession::back_off(Time now, Time until) {
-  if (!unread_since_) unread_since_ = now;
+  arrival_clock_.on_pause(now);
   next_due_ = std::max(until, now + kReadBackoff);
   return PollResult::wait_until_due;
 }
@@ -146,7 +149,8 @@
 // Symptom: it loses the responses to those requests. Guard: the client is not read any more, and the
 // dispatcher closes the connection once all its requests have been answered.
 Pollable::PollResult ClientSession::stop_reading(Time now, const std::string& cause) {
-  log_.write("client reading stopped: cause=\"" + cause + "\"");
+  log_.write("client reading stopped: cause=\"" + cause +
+             "\" since_assumed_arrival_ms=" + milliseconds_text(now - arrival_clock_.arrived_at()));
   close_cause_ = "invalid message from the client";
   reading_stopped_ = true;
   protocol_error_.reset();
@@ -206,9 +210,12 @@
     }
     if (protocol_error_ || !reserve_partial_message()) return true;
     has_unposted_bytes_ = reader_.pending() > 0;
-    // An idle client returns to the client poller, which enforces message_deadline_.
-    const auto waited = socket_.wait_readable(std::min(message_deadline_, now() + kReaderIdleTimeout));
-    if (waited != Socket::WaitResult::readable) return waited == Socket::WaitResult::timed_out;
+    // After a pause it reads until nothing is left, so that the backlog has an end (arrival_clock.h).
+    if (!arrival_clock_.may_have_backlog()) {
+      // An idle client returns to the client poller, which enforces message_deadline_.
+      const auto waited = socket_.wait_readable(std::min(message_deadline_, now() + kReaderIdleTimeout));
+      if (waited != Socket::WaitResult::readable) return waited == Socket::WaitResult::timed_out;
+    }
     has_unposted_bytes_ = true;
     if (read_available() == ReadOutcome::closed) return false;
   }
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -15,6 +15,7 @@
 #include <string>
 
 #include "config/settings.h"
+#include "net/arrival_clock.h"
 #include "net/events.h"
 #include "net/message_credits.h"
 #include "net/message_queue.h"
@@ -119,9 +120,8 @@
   RateLimiter rate_limiter_;
   Time message_deadline_ = Time::max();  // by which an incomplete message must be complete
   Time next_due_ = Time::max();
-  Time last_read_at_{};                               // arrival time of the last bytes read
-  std::optional<Time> unread_since_;                  // when reading was paused with bytes perhaps unread
-  const char* close_cause_ = "closed by the client";  // reported by on_closed()
+  ArrivalClock arrival_clock_;
+  const char* close_cause_ = "closed by the client";                     // reported by on_closed()
   std::map<dispatch::CallId, scheduler::WaitEstimate> attached_quotes_;  // dispatcher thread only
   Sender<Item> sender_;
   Thread thread_;  // declared last: it uses the other members
