A message that takes too long no longer makes its connection deaf

Cause: 2.2 s after a message's first byte the session stopped reading for good, but its connection stayed open for the other request.

Fix: a time-out no longer ends the reading. The dispatcher closes the connection once it has no open request and nothing of it is unread; a message that gets complete is answered and the connection kept.

--- a/src/dispatch/client_responder.cpp
+++ b/src/dispatch/client_responder.cpp
@@ -98,8 +98,9 @@
 }
 
 void ClientResponder::close_finished_stalled() {
-  for (const SessionId session : deps_.sessions.take_finished_stalled())
-    deps_.clients.close_after_responses(session);
+  for (const SessionId session : deps_.sessions.take_finished_stalled()) {
+    if (!deps_.clients.close_after_responses(session)) deps_.sessions.cancel_close(session);
+  }
 }
 
 void ClientResponder::close_call(Request& request) {
--- a/src/dispatch/client_responder.h
+++ b/src/dispatch/client_responder.h
@@ -56,7 +56,7 @@
   // Closes the connection unless it has received something that was not handled yet. This is what `idle`
   // means here; in ClientSessions an idle connection is one that has no open request.
   void close_if_idle(SessionId session);
-  // Closes the connections that are no longer read from (SessionStalled) and have no open request left, once
+  // Closes the connections that are stalled (SessionStalled) and have no open request left, once
   // their responses are written.
   void close_finished_stalled();
 
--- a/src/dispatch/client_sessions.cpp
+++ b/src/dispatch/client_sessions.cpp
@@ -108,6 +108,10 @@
   if (Session* session = find(id)) session->stalled = true;
 }
 
+void ClientSessions::clear_stalled(SessionId id) {
+  if (Session* session = find(id)) session->stalled = false;
+}
+
 std::vector<SessionId> ClientSessions::take_finished_stalled() {
   std::vector<SessionId> to_close;
   for (auto& [id, session] : sessions_) {
--- a/src/dispatch/client_sessions.h
+++ b/src/dispatch/client_sessions.h
@@ -49,8 +49,9 @@
   void mark_suspect(Time now, SessionId id);
   bool is_suspect(Time now, SessionId id) const;
 
-  // Reports that nothing more is read from the connection. It is closed once it has no open request.
+  // Reports that the connection is to be closed once it has no open request, or that it is not any more.
   void mark_stalled(SessionId id);
+  void clear_stalled(SessionId id);
   // Returns the stalled connections that have no open request left, each once.
   std::vector<SessionId> take_finished_stalled();
   // Returns the connections to close because they have no open request, each once: those that exceeded their
@@ -72,7 +73,7 @@
     bool answered = false;  // a response of any kind was sent
     bool served = false;    // a result was sent
     bool closing = false;
-    bool stalled = false;  // no longer read from (SessionStalled)
+    bool stalled = false;  // to be closed (SessionStalled)
     std::optional<Time> suspected_at;
   };
   bool near_session_limit() const { return sessions_.size() >= limits_.sessions * 3 / 4; }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -92,6 +92,7 @@
   void on(const QuoteRequested& quote) { admission_.handle(quote); }
   void on(const SessionClosed& closed);
   void on(const SessionStalled& stalled);
+  void on(const SessionResumed& resumed) { sessions_.clear_stalled(resumed.session); }
   void on(const EngineConnected& connected) { attempts_.handle(connected); }
   void on(const EngineDisconnected& disconnected) { attempts_.handle(disconnected); }
   void on(const ResponseReceived& response) { responses_.handle(response); }
--- a/src/dispatch/ports.h
+++ b/src/dispatch/ports.h
@@ -68,7 +68,11 @@
   SessionId session{};
   const char* cause = "closed by its client";  // a string literal
 };
-struct SessionStalled {  // no longer read from; closed once its open requests are answered
+struct SessionStalled {  // to be closed once its open requests are answered: its client sent a message that
+                         // is malformed, or that does not get complete
+  SessionId session{};
+};
+struct SessionResumed {  // no longer stalled: the message is complete after all
   SessionId session{};
 };
 struct EngineConnected {
@@ -92,9 +96,10 @@
 };
 struct StartDraining {};  // requested by the operators: stop serving clients
 struct Resume {};         // requested by the operators: serve clients again
-using Event = std::variant<SessionOpened, RequestReceived, BadRequest, RequestCancelled, ProbeReceived,
-                           QuoteRequested, SessionClosed, SessionStalled, EngineConnected, EngineDisconnected,
-                           ResponseReceived, EngineListChanged, BeginShutdown, StartDraining, Resume>;
+using Event =
+    std::variant<SessionOpened, RequestReceived, BadRequest, RequestCancelled, ProbeReceived, QuoteRequested,
+                 SessionClosed, SessionStalled, SessionResumed, EngineConnected, EngineDisconnected,
+                 ResponseReceived, EngineListChanged, BeginShutdown, StartDraining, Resume>;
 
 // Ports
 
@@ -118,8 +123,12 @@
   // Like close(), but returns false and leaves the connection open if it has received data whose event was
   // not raised yet.
   virtual bool close_if_idle(SessionId session) = 0;
-  // Closes the connection once its answers are written; a SessionClosed event follows.
-  virtual void close_after_responses(SessionId session) { close(session); }
+  // Closes the connection once its answers are written; a SessionClosed event follows. Returns false and
+  // leaves the connection open if it has received data whose event was not raised yet.
+  virtual bool close_after_responses(SessionId session) {
+    close(session);
+    return true;
+  }
   // Returns whether the client has closed the connection, even if SessionClosed was not raised yet. Called
   // right before an attempt is sent.
   virtual bool has_disconnected(SessionId) { return false; }
--- a/src/net/client_port_adapter.cpp
+++ b/src/net/client_port_adapter.cpp
@@ -58,8 +58,9 @@
   return session && session->abort_if_idle();
 }
 
-void ClientPortAdapter::close_after_responses(dispatch::SessionId id) {
-  if (auto* session = find(id)) session->close_after_writes();
+bool ClientPortAdapter::close_after_responses(dispatch::SessionId id) {
+  auto* session = find(id);
+  return session && session->close_after_writes_if_nothing_unread();
 }
 
 bool ClientPortAdapter::has_disconnected(dispatch::SessionId id) {
--- a/src/net/client_port_adapter.h
+++ b/src/net/client_port_adapter.h
@@ -38,7 +38,7 @@
                   const scheduler::WaitEstimate& quote) override;
   void close(dispatch::SessionId id) override;
   bool close_if_idle(dispatch::SessionId id) override;
-  void close_after_responses(dispatch::SessionId id) override;
+  bool close_after_responses(dispatch::SessionId id) override;
   bool has_disconnected(dispatch::SessionId id) override;
 
  private:
--- /dev/null
+++ b/src/net/client_reader_thread.cpp
@@ -0,0 +1,63 @@
+// The reader thread of a busy client, which reads a ClientSession in place of the client poller.
+#include <algorithm>
+#include <system_error>
+
+#include "net/client_session.h"
+
+namespace yokestream::net {
+namespace {
+
+// A reader thread that receives nothing for this long returns its client to the client poller.
+constexpr Duration kReaderIdleTimeout = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+// Failure: no thread can be created. Symptom: the client would lose its open requests. Guard: the client
+// poller continues to read it.
+bool ClientSession::start_reader() try {
+  if (results_sent_ < kBusyClientMinResults || !reader_pool_.reader_slots.try_reserve(reader_reservation_, 1))
+    return false;
+  thread_ = Thread("client-read", kSmallStackBytes, [this] {
+    bool is_idle = false;
+    try {
+      is_idle = run_reader();
+    } catch (const std::exception& error) {
+      log_.write(std::string("client connection closed: cause=\"") + error.what() + "\"");
+      close_cause_ = "invalid message from the client";
+    }
+    reader_reservation_ = {};
+    if (is_idle)
+      reader_pool_.client_poller.add(weak_from_this());
+    else
+      on_closed();
+  });
+  return true;
+} catch (const std::system_error& error) {
+  reader_reservation_ = {};
+  log_.write(std::string("client reader thread not started: cause=\"") + error.what() + "\"");
+  return false;
+}
+
+// An incomplete or malformed message stays in the session, and the client poller handles it.
+bool ClientSession::run_reader() {
+  while (true) {
+    decode_pending();
+    while (!messages_.is_empty()) {
+      if (!credits_.acquire()) return false;  // aborted; on_closed() reports it
+      if (socket_.peer_has_closed()) return false;
+      post_next();
+    }
+    if (protocol_error_ || !reserve_partial_message(now())) return true;
+    has_unposted_bytes_ = reader_.pending() > 0;
+    // After a pause it reads until nothing is left, so that the backlog has an end (arrival_clock.h).
+    if (!arrival_clock_.may_have_backlog()) {
+      // An idle client returns to the client poller, which enforces message_timeout_.
+      const auto waited = socket_.wait_readable(std::min(message_timeout_.due(), now() + kReaderIdleTimeout));
+      if (waited != Socket::WaitResult::readable) return waited == Socket::WaitResult::timed_out;
+    }
+    has_unposted_bytes_ = true;
+    if (read_available() == ReadOutcome::closed) return false;
+  }
+}
+
+}  // namespace yokestream::net
--- a/src/net/client_reading.cpp
+++ b/src/net/client_reading.cpp
@@ -12,12 +12,8 @@
 
 constexpr std::size_t kReadBytes = 4 * 1024;
 constexpr int kMaxReadsPerCall = 8;
-// A message must be complete this long after its first byte.
-constexpr Duration kMessageTimeout = std::chrono::milliseconds(2200);
 // The delay before a retry when a credit, the rate limiter's permission or memory is lacking.
 constexpr Duration kReadBackoff = std::chrono::milliseconds(10);
-// A reader thread that receives nothing for this long returns its client to the client poller.
-constexpr Duration kReaderIdleTimeout = std::chrono::milliseconds(1000);
 // The interval of checks whether a client that is no longer read can be closed.
 constexpr Duration kCloseCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration kLastResponsesTimeout = std::chrono::milliseconds(2200);
@@ -35,7 +31,8 @@
   while (!protocol_error_ && !messages_.is_full()) {
     auto message = reader_.next();
     if (!message) break;
-    message_deadline_ = Time::max();
+    message_timeout_.reset();
+    if (stalled_) resume();
     if (std::holds_alternative<protocol::OtherNotice>(*message))
       protocol_error_ = "unknown notification";
     else
@@ -65,18 +62,17 @@
   return outcome;
 }
 
-// Failure: a client stops in the middle of a message. Symptom: its bytes and its descriptor are held for
-// ever. Guard: a message has an absolute deadline, and the memory of all incomplete messages is bounded. (The
-// dispatcher limits the time that a connection may be idle.) A lack of memory does not close a connection,
-// because its open requests still need their responses; the client is read again later.
-bool ClientSession::reserve_partial_message() {
+// Failure: clients send parts of messages only. Symptom: they use up the memory. Guard: the memory of all
+// incomplete messages is bounded. A lack of memory does not close a connection, because its open requests
+// still need their responses; the client is read again later.
+bool ClientSession::reserve_partial_message(Time now) {
   const std::size_t pending = reader_.pending();
   const std::size_t reserved = partial_message_reservation_.amount();
   if (pending == 0) {
-    message_deadline_ = Time::max();
+    message_timeout_.reset();
     partial_message_reservation_ = {};
-  } else if (message_deadline_ == Time::max()) {
-    message_deadline_ = arrival_clock_.arrived_at() + kMessageTimeout;
+  } else {
+    message_timeout_.on_incomplete(now, pending);
   }
   return pending <= reserved || memory_budget_.try_reserve(partial_message_reservation_, pending - reserved);
 }
@@ -88,6 +84,7 @@
 }
 
 Pollable::PollResult ClientSession::on_ready(Time now, bool is_ready) {
+  if (stalled_ && sender_.is_closing()) stop_reading();
   if (reading_stopped_) return wait_for_close(now);
   const PollResult result = read_and_post(now);
   const bool may_transfer = result != PollResult::closed && !reading_stopped_ && is_ready;
@@ -124,20 +121,18 @@
   while (true) {
     const PollResult posted = post_all(now);
     if (posted != PollResult::wait_readable) return posted;
-    if (protocol_error_) return stop_reading(now, *protocol_error_);
-    if (!reserve_partial_message()) {
-      if (now >= message_deadline_) return stop_reading(now, "no memory for an incomplete message");
-      back_off(now, now);
-      next_due_ = std::min(message_deadline_, next_due_);
-      return PollResult::wait_until_due;
+    if (protocol_error_) return end_reading(now, *protocol_error_);
+    if (!reserve_partial_message(now)) {
+      if (now >= message_timeout_.due()) return end_reading(now, "no memory for an incomplete message");
+      return back_off(now, now);
     }
     const ReadOutcome outcome = read_available();
     if (outcome == ReadOutcome::closed) return PollResult::closed;
     if (outcome == ReadOutcome::would_block) break;
   }
   has_unposted_bytes_ = reader_.pending() > 0;
-  if (now >= message_deadline_) return stop_reading(now, "incomplete message timed out");
-  next_due_ = message_deadline_;
+  if (stalled_ || now >= message_timeout_.due()) return stall(now, "incomplete message timed out");
+  next_due_ = message_timeout_.due();
   return PollResult::wait_readable;
 } catch (const std::exception& error) {
   log_.write(std::string("client connection closed: cause=\"") + error.what() + "\"");
@@ -145,21 +140,46 @@
   return PollResult::closed;
 }
 
+// Failure: a message times out on a connection that another open request keeps open, and nothing more is read
+// from it. Symptom: the rest of the message and the requests after it arrive and get no response. Guard: the
+// client is read until the dispatcher closes the connection, which it does only if nothing is unread.
+Pollable::PollResult ClientSession::stall(Time now, const char* cause) {
+  if (!std::exchange(stalled_, true)) {
+    log_.write(std::string("client message timed out: cause=\"") + cause +
+               "\" since_assumed_arrival_ms=" + milliseconds_text(now - arrival_clock_.arrived_at()));
+    close_cause_ = "incomplete message from the client";
+    event_queue_.post(dispatch::Event(dispatch::SessionStalled{id_}));
+  }
+  has_unposted_bytes_ = false;  // those of an incomplete message don't keep the connection open any more
+  next_due_ = now + kCloseCheckInterval;
+  return PollResult::wait_until_due;
+}
+
+// The message that had timed out is complete after all.
+void ClientSession::resume() {
+  stalled_ = false;
+  close_cause_ = kClosedByClient;
+  event_queue_.post(dispatch::Event(dispatch::SessionResumed{id_}));
+}
+
 // Failure: a client with open requests sends a malformed message, and its connection is closed at once.
 // Symptom: it loses the responses to those requests. Guard: the client is not read any more, and the
 // dispatcher closes the connection once all its requests have been answered.
-Pollable::PollResult ClientSession::stop_reading(Time now, const std::string& cause) {
-  log_.write("client reading stopped: cause=\"" + cause +
-             "\" since_assumed_arrival_ms=" + milliseconds_text(now - arrival_clock_.arrived_at()));
+Pollable::PollResult ClientSession::end_reading(Time now, const std::string& cause) {
+  log_.write("client reading stopped: cause=\"" + cause + "\"");
   close_cause_ = "invalid message from the client";
+  event_queue_.post(dispatch::Event(dispatch::SessionStalled{id_}));
+  stop_reading();
+  next_due_ = now + kCloseCheckInterval;
+  return PollResult::wait_until_due;
+}
+
+void ClientSession::stop_reading() {
   reading_stopped_ = true;
   protocol_error_.reset();
   reader_ = {};
   partial_message_reservation_ = {};
   has_unposted_bytes_ = false;
-  event_queue_.post(dispatch::Event(dispatch::SessionStalled{id_}));
-  next_due_ = now + kCloseCheckInterval;
-  return PollResult::wait_until_due;
 }
 
 // Failure: a client never reads its last responses. Symptom: its descriptor is held for ever. Guard: the
@@ -173,52 +193,4 @@
   return PollResult::wait_until_due;
 }
 
-// Failure: no thread can be created. Symptom: the client would lose its open requests. Guard: the client
-// poller continues to read it.
-bool ClientSession::start_reader() try {
-  if (results_sent_ < kBusyClientMinResults || !reader_pool_.reader_slots.try_reserve(reader_reservation_, 1))
-    return false;
-  thread_ = Thread("client-read", kSmallStackBytes, [this] {
-    bool is_idle = false;
-    try {
-      is_idle = run_reader();
-    } catch (const std::exception& error) {
-      log_.write(std::string("client connection closed: cause=\"") + error.what() + "\"");
-      close_cause_ = "invalid message from the client";
-    }
-    reader_reservation_ = {};
-    if (is_idle)
-      reader_pool_.client_poller.add(weak_from_this());
-    else
-      on_closed();
-  });
-  return true;
-} catch (const std::system_error& error) {
-  reader_reservation_ = {};
-  log_.write(std::string("client reader thread not started: cause=\"") + error.what() + "\"");
-  return false;
-}
-
-// An incomplete or malformed message stays in the session, and the client poller handles it.
-bool ClientSession::run_reader() {
-  while (true) {
-    decode_pending();
-    while (!messages_.is_empty()) {
-      if (!credits_.acquire()) return false;  // aborted; on_closed() reports it
-      if (socket_.peer_has_closed()) return false;
-      post_next();
-    }
-    if (protocol_error_ || !reserve_partial_message()) return true;
-    has_unposted_bytes_ = reader_.pending() > 0;
-    // After a pause it reads until nothing is left, so that the backlog has an end (arrival_clock.h).
-    if (!arrival_clock_.may_have_backlog()) {
-      // An idle client returns to the client poller, which enforces message_deadline_.
-      const auto waited = socket_.wait_readable(std::min(message_deadline_, now() + kReaderIdleTimeout));
-      if (waited != Socket::WaitResult::readable) return waited == Socket::WaitResult::timed_out;
-    }
-    has_unposted_bytes_ = true;
-    if (read_available() == ReadOutcome::closed) return false;
-  }
-}
-
 }  // namespace yokestream::net
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -71,6 +71,14 @@
   if (!has_unposted_bytes_ && !credits_.in_use()) close_after_writes();
 }
 
+// The checks follow a message's path, as in abort_if_idle().
+bool ClientSession::close_after_writes_if_nothing_unread() {
+  if (!reading_stopped_ && (socket_.has_unread_bytes() || has_unposted_bytes_ || credits_.in_use()))
+    return false;
+  close_after_writes();
+  return true;
+}
+
 // Failure: a client does not read its responses. Symptom: they use up the memory. Guard: its connection is
 // aborted when its queue is full.
 void ClientSession::enqueue(std::string bytes, dispatch::Reservation memory_reservation,
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -19,6 +19,7 @@
 #include "net/events.h"
 #include "net/message_credits.h"
 #include "net/message_queue.h"
+#include "net/message_timeout.h"
 #include "net/poller.h"
 #include "net/rate_limiter.h"
 #include "net/sender.h"
@@ -67,6 +68,9 @@
   void close_after_writes() { sender_.close_after_writes(); }
   // Does the same, but only if no message of the client is still to be handled by the dispatcher.
   void close_after_writes_if_settled();
+  // Does the same, but only if nothing of the client is unread either, unless it is not read any more. False:
+  // the connection stays open.
+  bool close_after_writes_if_nothing_unread();
   // True if the client has closed the connection, even if the end of its stream has not been read yet.
   bool peer_has_closed() const { return socket_.peer_has_closed(); }
 
@@ -79,19 +83,23 @@
   static constexpr std::size_t kMaxAttachedQuotes = 64;
   // A client with this many results is busy; one that sends a single request and stays connected is not.
   static constexpr int kBusyClientMinResults = 2;
+  static constexpr const char* kClosedByClient = "closed by the client";
 
   void enqueue(std::string bytes, dispatch::Reservation memory_reservation, std::size_t counted_bytes);
   void enqueue_bytes(std::string bytes);
   enum class ReadOutcome { would_block, data, closed };
   ReadOutcome read_available();
   void decode_pending();
-  // Sets the deadline of an incomplete message and reserves memory for its bytes. False: no memory.
-  bool reserve_partial_message();
+  // Starts the timeout of an incomplete message and reserves memory for its bytes. False: no memory.
+  bool reserve_partial_message(Time now);
   void post_next();
   PollResult post_all(Time now);  // wait_readable: all decoded messages have been posted
   PollResult back_off(Time now, Time until);
   PollResult read_and_post(Time now);
-  PollResult stop_reading(Time now, const std::string& cause);
+  PollResult stall(Time now, const char* cause);
+  void resume();
+  PollResult end_reading(Time now, const std::string& cause);
+  void stop_reading();
   PollResult wait_for_close(Time now);
   // Starts the reader thread of a busy client. False: the client is not busy or no thread is available, and
   // the client poller continues to read it.
@@ -109,16 +117,17 @@
   MessageCredits credits_;  // one for each message posted and not yet handled
   std::atomic<int> results_sent_{0};
   std::atomic<bool> has_unposted_bytes_{false};  // bytes read whose messages are not posted yet
+  std::atomic<bool> reading_stopped_{false};     // for good; responses are still written after that
   // Reading thread only: the client poller, or its reader thread.
   protocol::MsgpackReader reader_;
   MessageQueue messages_;
-  std::optional<std::string> protocol_error_;          // found after the queued messages
-  bool reading_stopped_ = false;                       // responses are still written after that
-  Time close_deadline_ = Time::max();                  // of a client that is no longer read
+  std::optional<std::string> protocol_error_;  // found after the queued messages
+  bool stalled_ = false;               // an incomplete message has timed out; the client is still read
+  Time close_deadline_ = Time::max();  // of a client that is no longer read
   dispatch::Reservation partial_message_reservation_;  // bytes
   dispatch::Reservation reader_reservation_;           // one of reader_pool_.reader_slots
   RateLimiter rate_limiter_;
-  Time message_deadline_ = Time::max();  // by which an incomplete message must be complete
+  MessageTimeout message_timeout_;
   Time next_due_ = Time::max();
   ArrivalClock arrival_clock_;
   const char* close_cause_ = "closed by the client";                     // reported by on_closed()
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -92,8 +92,9 @@
     return true;
   }
 
- private:
   bool has_unread_bytes() const;
+
+ private:
   void abort_locked();
   // Returns the result of recv(): -1 with errno set on an error, EAGAIN if `deadline` has passed.
   std::ptrdiff_t receive(char* into, std::size_t size, Time deadline, int flags);
--- a/src/standin/trace.cpp
+++ b/src/standin/trace.cpp
@@ -66,6 +66,7 @@
   }
   std::string operator()(const dispatch::SessionClosed& e) const { return line("session-end", e.session); }
   std::string operator()(const dispatch::SessionStalled& e) const { return line("stalled", e.session); }
+  std::string operator()(const dispatch::SessionResumed& e) const { return line("resumed", e.session); }
   std::string operator()(const dispatch::EngineConnected& e) const { return line("up", e.connection); }
   std::string operator()(const dispatch::EngineDisconnected& e) const {
     return line("down", e.connection, e.local_fault);
--- a/tests/node/dialing_test.cpp
+++ b/tests/node/dialing_test.cpp
@@ -92,5 +92,23 @@
   CHECK(count("close after responses 1") == 1);
 }
 
+// Guards against the loss of a request that arrives in whole on a connection that is to be closed because an
+// earlier message timed out (docs/incidents/deaf-connection.md).
+TEST_CASE_FIXTURE(ConnectingFixture,
+                  "a stalled session is not closed while it has unread data, nor once it has resumed") {
+  handle(dispatch::SessionStalled{dispatch::SessionId{1}});
+  CHECK(count("close after responses 1") == 1);  // no request is open
+  port_calls.clear();
+  sessions_with_unread_data.insert(dispatch::SessionId{2});
+  handle(dispatch::SessionOpened{dispatch::SessionId{2}});
+  handle(dispatch::SessionStalled{dispatch::SessionId{2}});
+  advance(300ms);
+  CHECK(count("close after responses 2") == 0);
+  handle(dispatch::SessionResumed{dispatch::SessionId{2}});
+  sessions_with_unread_data.clear();
+  advance(300ms);
+  CHECK(count("close after responses 2") == 0);
+}
+
 }  // namespace
 }  // namespace yokestream::test
--- a/tests/node/helper.h
+++ b/tests/node/helper.h
@@ -166,8 +166,10 @@
     close(s);
     return true;
   }
-  void close_after_responses(dispatch::SessionId s) override {
+  bool close_after_responses(dispatch::SessionId s) override {
+    if (sessions_with_unread_data.count(s)) return false;
     port_calls.push_back("close after responses " + std::to_string(static_cast<int>(s)));
+    return true;
   }
   bool has_disconnected(dispatch::SessionId s) override { return disconnected_sessions.count(s) > 0; }
   void connect(dispatch::EngineConnectionId connection, const config::Endpoint& endpoint, Time) override {
--- a/tests/node/net_client_test.cpp
+++ b/tests/node/net_client_test.cpp
@@ -63,6 +63,58 @@
          net::Pollable::PollResult::closed));  // although the client stays connected
 }
 
+// Guards against a connection that stays open for another request but is not read any more once a message has
+// taken too long (docs/incidents/deaf-connection.md).
+TEST_CASE("a message that gets complete after its time limit is answered, and so are the ones after it") {
+  SessionFixture fixture(1);
+  SocketPair pair;
+  const auto session = fixture.session(Fd(::dup(pair.socket.descriptor())));
+  const auto read_after = [&](const std::string& bytes, Time at) {
+    pair.peer.send(bytes);
+    char first = 0;
+    REQUIRE(::recv(pair.socket.descriptor(), &first, 1, MSG_PEEK) == 1);
+    return session->on_ready(at, true);
+  };
+  const auto next_event = [&] {
+    return std::get<dispatch::Event>(fixture.event_queue.drain_until(net::now()).at(0));
+  };
+  const std::string bytes = encode_request(1, "0123456789abcdef", "select 1");
+  CHECK((read_after(bytes.substr(0, 20), net::now()) == net::Pollable::PollResult::wait_readable));
+  const Time timed_out_at = session->next_due();
+  REQUIRE((timed_out_at != Time::max()));
+  CHECK((session->on_ready(timed_out_at, false) == net::Pollable::PollResult::wait_until_due));
+  CHECK(std::holds_alternative<dispatch::SessionStalled>(next_event()));
+  CHECK((read_after(bytes.substr(20, 5), timed_out_at) == net::Pollable::PollResult::wait_until_due));
+  CHECK_FALSE(fixture.log.count("client reading stopped"));
+  CHECK((read_after(bytes.substr(25), session->next_due()) == net::Pollable::PollResult::wait_readable));
+  const auto events = fixture.event_queue.drain_until(net::now());
+  REQUIRE(events.size() == 2);
+  CHECK(std::holds_alternative<dispatch::SessionResumed>(std::get<dispatch::Event>(events[0])));
+  CHECK(std::holds_alternative<dispatch::RequestReceived>(std::get<dispatch::Event>(events[1])));
+  CHECK((read_after(encode_request(2, "0123456789abcde0", "select 2"), timed_out_at + 1s) ==
+         net::Pollable::PollResult::wait_readable));
+  CHECK(std::holds_alternative<dispatch::RequestReceived>(next_event()));
+}
+
+TEST_CASE("a stalled client whose next request is unread is not closed") {
+  SessionFixture fixture(1);
+  SocketPair pair;
+  const auto session = fixture.session(Fd(::dup(pair.socket.descriptor())));
+  const std::string bytes = encode_request(1, "0123456789abcdef", "select 1");
+  pair.peer.send(bytes.substr(0, 20));
+  char first = 0;
+  REQUIRE(::recv(pair.socket.descriptor(), &first, 1, MSG_PEEK) == 1);
+  session->on_ready(net::now(), true);
+  session->on_ready(session->next_due(), false);
+  pair.peer.send(bytes.substr(20));
+  REQUIRE(::recv(pair.socket.descriptor(), &first, 1, MSG_PEEK) == 1);
+  CHECK_FALSE(session->close_after_writes_if_nothing_unread());
+  session->on_ready(net::now(), true);
+  CHECK_FALSE(session->close_after_writes_if_nothing_unread());  // the dispatcher has not handled it
+  session->release_message_credit();
+  CHECK(session->close_after_writes_if_nothing_unread());
+}
+
 // Guards against closing the connection when the memory budget is used up: open requests then got no
 // response.
 TEST_CASE("a client whose next message exceeds the free memory is read again once memory is free") {
