What permits a send is checked until its first byte leaves

Cause: the decision is checked when it is made, the bytes leave when the connection stands, up to DialTimeout later; only the route lease was checked there. An unwritten attempt of a client that had gone was withdrawn only if the decision module cancelled it, which Allowed.Cancel = false forbids.

Fix: the module's Send says how long it holds; the attempt carries the earliest of that, its response deadline and the lease as its write deadline, which the sender checks right before the first byte and a timer enforces. The core withdraws an unwritten attempt of a client that has gone by itself.

--- a/include/yokestream/policy/actions.h
+++ b/include/yokestream/policy/actions.h
@@ -14,6 +14,8 @@
   QueryId query{};
   EngineId engine;
   Duration timeout{};  // 0: until the client's deadline
+  // No byte may be sent later than this from now, however long the connection takes; 0: no limit.
+  Duration valid_for{};
 };
 struct Cancel {
   QueryId query{};
--- a/src/dispatch/attempt_sending.cpp
+++ b/src/dispatch/attempt_sending.cpp
@@ -1,4 +1,5 @@
 // AttemptTracker: connecting to the chosen engine and sending the attempt.
+#include <algorithm>
 #include <utility>
 
 #include "dispatch/attempt_tracker.h"
@@ -38,7 +39,7 @@
   // right before the attempt is sent.
   if (deps_.clients.has_disconnected(request->received.session)) {
     request->attempt->phase = AttemptPhase::connecting;
-    return deps_.responder.abandon(send.query);
+    return abandon_request(send.query);
   }
   connect_or_retry(send.query, *request, *engine);
 }
@@ -69,6 +70,12 @@
     deps_.timers.schedule(attempt.response_deadline,
                           AttemptTimer{send.query, attempt.tag, Outcome::timed_out, now});
   }
+  attempt.write_deadline = attempt.response_deadline;
+  if (send.valid_for > Duration{} && now + send.valid_for < attempt.write_deadline) {
+    attempt.write_deadline = now + send.valid_for;
+    deps_.timers.schedule(attempt.write_deadline,
+                          AttemptTimer{send.query, attempt.tag, Outcome::never_sent, now});
+  }
   return attempt;
 }
 
@@ -95,9 +102,10 @@
   message.deadline = attempt.response_deadline;
   message.priority =
       deps_.stages.on_attempt_started(now, query, attempt.engine_uid, request.requested_priority);
+  message.write_deadline = attempt.write_deadline;
   if (deps_.routes.route_of(now, request.received).needs_lease) {
-    message.lease_expiry = deps_.routes.lease_expiry();
-    deps_.timers.schedule(message.lease_expiry, AttemptTimer{query, attempt.tag, Outcome::never_sent, now});
+    message.write_deadline = std::min(message.write_deadline, deps_.routes.lease_expiry());
+    deps_.timers.schedule(message.write_deadline, AttemptTimer{query, attempt.tag, Outcome::never_sent, now});
   }
   message.statement = request.received.statement;
   deps_.engines.send(*connection, attempt.tag, std::move(message));
@@ -120,7 +128,7 @@
   const EngineRecord* engine = deps_.directory.find_available(engine_uid);
   if (request->answered || !engine || is_excluded_by_route(*request, engine_uid))
     return end(timer.query, *request, Outcome::never_sent);
-  if (deps_.clients.has_disconnected(request->received.session)) return deps_.responder.abandon(timer.query);
+  if (deps_.clients.has_disconnected(request->received.session)) return abandon_request(timer.query);
   connect_or_retry(timer.query, *request, *engine);
 }
 
--- a/src/dispatch/attempt_tracker.cpp
+++ b/src/dispatch/attempt_tracker.cpp
@@ -33,6 +33,15 @@
   end(query, request, outcome);
 }
 
+// Failure: the decision module may not cancel attempts. Symptom: the request of a client that has gone is
+// sent once its connection is established. Guard: an attempt of which nothing has been written is withdrawn
+// here.
+void AttemptTracker::abandon_request(QueryId query) {
+  deps_.responder.abandon(query);
+  Request* request = deps_.requests.find(query);
+  if (request && request->attempt && withdraw(*request->attempt)) end(query, *request, Outcome::never_sent);
+}
+
 void AttemptTracker::end(QueryId query, Request& request, Outcome outcome) {
   const Time now = deps_.clock.now();
   const Attempt attempt = std::move(*request.attempt);
@@ -120,7 +129,7 @@
   Request* request = deps_.requests.find_attempt(timer.query, timer.tag);
   if (!request) return;
   Attempt& attempt = *request->attempt;
-  if (timer.outcome == Outcome::never_sent) {  // the lease has expired: an unwritten attempt is not sent
+  if (timer.outcome == Outcome::never_sent) {  // the write deadline: an unwritten attempt is not sent
     if (withdraw(attempt)) end(timer.query, *request, Outcome::never_sent);
     return;
   }
--- a/src/dispatch/attempt_tracker.h
+++ b/src/dispatch/attempt_tracker.h
@@ -59,6 +59,9 @@
 
   // Ends the attempt: notifies the decision module, and removes the request if it is done.
   void end(policy::QueryId query, Request& request, policy::Outcome outcome);
+  // The client doesn't want a response any more: closes its call, and withdraws an attempt that is not
+  // written.
+  void abandon_request(policy::QueryId query);
   // Ends an attempt that may still be running: cancels it at the engine first, or releases its result. Later
   // responses are dropped.
   void abandon(policy::QueryId query, Request& request, policy::Outcome outcome);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -167,17 +167,17 @@
 
 void Dispatcher::on(const RequestCancelled& cancelled) {
   const auto query = requests_.find_open_call(cancelled.session, cancelled.call);
-  if (query) responder_.abandon(*query);
+  if (query) attempts_.abandon_request(*query);
 }
 
 void Dispatcher::on(const SessionClosed& closed) {
   const std::vector<QueryId> open_queries = requests_.open_calls_of(closed.session);
+  for (const QueryId query : open_queries) attempts_.abandon_request(query);
   // The client may not have closed the connection itself, so the loss of open requests is logged with the
   // cause.
   if (!open_queries.empty())
     log_.write("client connection closed: open_requests=" + std::to_string(open_queries.size()) +
                " cause=\"" + closed.cause + "\"");
-  for (const QueryId query : open_queries) responder_.abandon(query);
   sessions_.remove(closed.session);
 }
 
@@ -214,7 +214,7 @@
   Request& request = requests_.at(watchdog.query);
   request.watchdog_timer = timers_.none();
   responder_.fail(request.received, "Late");
-  responder_.abandon(watchdog.query);
+  attempts_.abandon_request(watchdog.query);
 }
 
 void Dispatcher::on(const MaintenanceTimer&) {
--- a/src/dispatch/request.h
+++ b/src/dispatch/request.h
@@ -22,6 +22,7 @@
   AttemptTag tag = 0;
   Time sent_at{};
   Time connect_deadline{};
+  Time write_deadline{};     // from this time on no byte of the request may be written
   Time response_deadline{};  // of the engine's response
   AttemptPhase phase = AttemptPhase::in_flight;
   EngineResponse response;                     // the engine's last response
--- a/src/dispatch/timer_queue.h
+++ b/src/dispatch/timer_queue.h
@@ -20,7 +20,7 @@
 struct DeadlineWatchdog {  // fails a request that is still unanswered after its deadline
   policy::QueryId query{};
 };
-struct AttemptTimer {  // the attempt's timeout, its lease expiry, or the timeout of its cancel confirmation
+struct AttemptTimer {  // the attempt's timeout, its write deadline, or the timeout of its cancel confirmation
   policy::QueryId query{};
   AttemptTag tag = 0;
   policy::Outcome outcome{};
--- a/src/net/engine_connection.cpp
+++ b/src/net/engine_connection.cpp
@@ -32,7 +32,7 @@
           },
           [](const Item& item) {
             const auto* request = std::get_if<EngineRequest>(&item.payload);
-            return request ? request->lease_expiry : Time::max();
+            return request ? request->write_deadline : Time::max();
           }) {}
 
 EngineConnection::~EngineConnection() { abort(); }
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -140,7 +140,7 @@
   announce_begin(query, attempt, engine);
   query.attempts.push_back(std::move(attempt));
   ++query.attempts_in_flight;
-  emit(Send{query.request.query, engine.entry.engine, Duration{}});
+  emit(Send{query.request.query, engine.entry.engine, Duration{}, rules_.valid_for(query, now_)});
 }
 
 void AdmissionController::Impl::announce_begin(const Query& query, Attempt& attempt, const Engine& engine) {
--- a/src/policy/send_rules.cpp
+++ b/src/policy/send_rules.cpp
@@ -14,9 +14,15 @@
   return allows(query_class.allowed_zones, entry.zone) && allows(query_class.allowed_kinds, entry.kind);
 }
 
+Duration SendRules::valid_for(const Query& query, Time now) const {
+  const auto& query_class = class_of(query);
+  if (query_class.idempotency != Idempotency::keyed || !query.may_run_since) return Duration{};
+  return query_class.deduplication_window - kTickInterval - (now - *query.may_run_since);
+}
+
 bool SendRules::deduplicates(const Query& query, const Engine& engine, Time now) const {
+  if (valid_for(query, now) <= Duration{}) return false;
   const auto& query_class = class_of(query);
-  if (now - *query.may_run_since >= query_class.deduplication_window - kTickInterval) return false;
   const Engine* first = engines_.find(query.may_run_on);
   if (!first) return false;
   const auto scope = query_class.deduplication_scope;
--- a/src/policy/send_rules.h
+++ b/src/policy/send_rules.h
@@ -24,6 +24,9 @@
   // engines.
   bool may_send(const Query& query, const Engine& engine, double work_s, double manager_count,
                 Time now) const;
+  // How long a permitted send stays permitted: a keyed query that may have run must reach an engine within
+  // its deduplication window. 0: no limit.
+  Duration valid_for(const Query& query, Time now) const;
   // Whether the query's class and its eligible engines permit this engine, regardless of its state.
   bool is_permitted(const Query& query, const EngineEntry& entry) const;
   // Whether no earlier query of the same order key has to run first.
--- a/src/protocol/engine_messages.h
+++ b/src/protocol/engine_messages.h
@@ -17,8 +17,8 @@
   policy::Time deadline{};  // until when its answer is waited for
   std::uint32_t priority = 1;
   std::string statement;
-  // S4: no byte of it leaves from this moment on. What it was granted by holds no longer then.
-  policy::Time lease_expiry = policy::Time::max();
+  // No byte of it is written from this time on: what permitted the request does not hold any longer.
+  policy::Time write_deadline = policy::Time::max();
 };
 
 enum class ResponseType { result, overloaded, failed, unknown_query, progress, page, pong };
--- a/tests/node/helper.h
+++ b/tests/node/helper.h
@@ -71,6 +71,7 @@
     dispatch::EngineConnectionId connection{};
     std::string id;
     AttemptState state = AttemptState::queued;
+    Time write_deadline{};
   };
   struct Reply {
     std::string kind, rows;
@@ -179,7 +180,7 @@
   }
   void send(dispatch::EngineConnectionId connection, dispatch::AttemptTag tag,
             EngineRequest request) override {
-    attempts[tag] = {connection, request.id, AttemptState::queued};
+    attempts[tag] = {connection, request.id, AttemptState::queued, request.write_deadline};
     port_calls.push_back("send " + request.id);
   }
   bool withdraw(dispatch::EngineConnectionId, dispatch::AttemptTag tag) override {
