--- a/tests/node/protocol_test.cpp
+++ b/tests/node/protocol_test.cpp
@@ -70,7 +70,7 @@
       std::string("\x94\x00\x07\xa4look\x92\x83\xa1x\xa1y\xa3req\xa2"
                   "ab\xa2mb\xa1"
                   "1\xc4\x00",
-                  33));
+                  28));
   const auto message = reader.next();
   REQUIRE(message);
   CHECK(std::get<Call>(*message).fields == Fields{{"req", "ab"}, {"mb", "1"}});
