--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -478,12 +478,35 @@
             config["feed"] = "%s:%d" % (HOST, feed_port)
         if management:
             config["management"] = "%s:%d" % (HOST, management)
+        self.settings = config
+        self._write_config()
+
+    def _write_config(self):
         self.config = os.path.join(self.folder, self.name + ".json")
         with open(self.config + ".new", "w") as out:
-            json.dump(config, out)
+            json.dump(self.settings, out)
         os.rename(self.config + ".new", self.config)
 
     async def start(self, environment=None, listener=None, ready_wait=10.0, ready=True):
+        """A port that another process has taken meanwhile is replaced by another one."""
+        for _ in range(5):
+            await self._start(environment, listener)
+            try:
+                if ready:
+                    await self.wait_ready(ready_wait)
+                return
+            except CannotRun:
+                if not self.alive():
+                    await self.log_task
+                if self.alive() or listener or not any("Address already in use" in line for line in self.log):
+                    raise
+                self.log.clear()
+                self.port = free_port()
+                self.settings["listen"] = "%s:%d" % (HOST, self.port)
+                self._write_config()
+        raise CannotRun("no port to listen on")
+
+    async def _start(self, environment, listener):
         with open(os.path.join(ROOT, "deploy", "balancer.toml")) as deploy:
             run = [line.split('"')[1] for line in deploy if line.startswith("run = ")][0]
         program = os.path.join(ROOT, run.split()[1])
@@ -502,8 +525,6 @@
             pass_fds=(4,) if listener else (), preexec_fn=hand_down if listener else None)
         self.record.add("manager", self.name, "started pid", self.process.pid)
         self.log_task = asyncio.ensure_future(self._read_log())
-        if ready:
-            await self.wait_ready(ready_wait)
 
     async def _read_log(self):
         async for line in self.process.stdout:
@@ -515,7 +536,7 @@
 
     async def wait_ready(self, wait=10.0):
         until = time.time() + wait
-        while time.time() < until:
+        while time.time() < until and self.alive():
             try:
                 client = await Client(self.record, "probe").connect(self.port)
                 able = await client.probe()
