--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -30,6 +30,7 @@
     def __init__(self):
         self.start = time.time()
         self.lines = []
+        self.kept = []  # the loop itself holds its tasks only weakly
 
     def add(self, *words):
         now = time.time()
@@ -152,7 +153,7 @@
     async def connect(self, port):
         self.reader, self.writer = await asyncio.open_connection(HOST, port)
         self.writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.task = asyncio.ensure_future(self._read())
+        self.record.kept += [self, asyncio.ensure_future(self._read())]
         return self
 
     def call(self, method, statement, timeout_ms, owner="souss-energie", ms=100.0, mb=16, ident=None):
@@ -357,7 +358,7 @@
             attempt.at = self.record.add("engine", self.name, "received", ident, parts[2])
             self.attempts.append(attempt)
             self.open[(writer, ident)] = attempt
-            asyncio.ensure_future(self.behave(attempt))
+            self.record.kept.append(asyncio.ensure_future(self.behave(attempt)))
         elif word == "STOP":
             attempt = self.open.get((writer, ident))
             if attempt:
