A request with malformed bytes behind it fails instead of being forwarded

What callers saw: a client told the length of its statement 14 bytes too short.

Cause: the decoder took the part for a whole message and found the rest malformed in the same read, but read_and_post() posted what stood before the malformed bytes and ended the reading only then. Related paths: a request over 32 KB was posted after eight reads, before what lies behind it was read at all; the reader thread of a busy client posted before it looked at the error, too.

Fix: one order. A session reads and decodes until nothing is unread (or its queue is full) before it posts anything. Malformed bytes end the requests that are still queued; each gets a Fault. Queued cancellations are still posted, as they take back what was posted before. What was posted after an earlier read is answered as before (net_race_test.cpp, "a client that sends an invalid message still gets the response"). The reads in one call are limited to 256 KB, so that cancelled requests at full speed hold up nobody.

--- a/src/net/client_reader_thread.cpp
+++ b/src/net/client_reader_thread.cpp
@@ -41,13 +41,14 @@
 // An incomplete or malformed message stays in the session, and the client poller handles it.
 bool ClientSession::run_reader() {
   while (true) {
-    decode_pending();
+    const bool needs_bytes = decode_pending();
     while (!messages_.is_empty()) {
       if (!credits_.acquire()) return false;  // aborted; on_closed() reports it
       if (socket_.peer_has_closed()) return false;
       post_next();
     }
     if (protocol_error_) return true;
+    if (!needs_bytes) continue;
     track_incomplete_message(now());
     has_unposted_bytes_ = reader_.pending() > 0;
     // After a pause it reads until nothing is left, so that the backlog has an end (arrival_clock.h).
@@ -57,7 +58,8 @@
       if (waited != Socket::WaitResult::readable) return waited == Socket::WaitResult::timed_out;
     }
     has_unposted_bytes_ = true;
-    const ReadOutcome outcome = read_available();
+    ReadOutcome outcome = ReadOutcome::read_limit;
+    while (outcome == ReadOutcome::read_limit) outcome = read_ahead();
     if (outcome == ReadOutcome::closed) return false;
     if (outcome == ReadOutcome::no_memory) return true;  // the client poller reads the client again later
   }
--- a/src/net/client_reading.cpp
+++ b/src/net/client_reading.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 4 * 1024;
-constexpr int kMaxReadsPerCall = 8;
+constexpr int kMaxReadsPerCall = 64;
 // What a decoded message holds besides its bytes: its record and those of its fields.
 constexpr std::size_t kMessageOverheadBytes = 1024;
 // The delay before a retry when a credit, the rate limiter's permission or memory is lacking.
@@ -27,15 +27,25 @@
 
 }  // namespace
 
-// Decodes messages until the queue is full. A malformed message stops the reading of this client, after the
-// messages before it have been posted.
-void ClientSession::decode_pending() try {
+// Returns true if more bytes are needed for the next message; false if the queue is full, memory is lacking
+// or the client is malformed.
+//
+// Failure: a client tells a wrong length, so that a part of its statement is decoded as a whole message and
+// the rest as malformed bytes. Symptom: an engine runs the part, and the client is answered as if its
+// statement had run. Guard: malformed bytes also end the requests that are queued before them; they fail.
+bool ClientSession::decode_pending() {
+  const bool needs_bytes = decode_messages();
+  if (protocol_error_) fail_queued_requests("the connection's next message is malformed");
+  return needs_bytes && !protocol_error_;
+}
+
+bool ClientSession::decode_messages() try {
   while (!protocol_error_ && !messages_.is_full()) {
     auto overhead = memory_.try_charge(kMessageOverheadBytes);
-    if (!overhead && !messages_.is_empty()) break;
+    if (!overhead && !messages_.is_empty()) return false;
     const std::size_t bytes_before = reader_.pending();
     auto message = reader_.next();
-    if (!message) break;
+    if (!message) return true;
     ClientMemory::Charge charge = overhead ? std::move(*overhead) : memory_.charge(kMessageOverheadBytes);
     charge.take_from(input_charge_, bytes_before - reader_.pending());
     message_timeout_.reset();
@@ -45,34 +55,40 @@
     else
       messages_.push({std::move(*message), arrival_clock_.arrived_at(), std::move(charge)});
   }
+  return false;
 } catch (const protocol::ProtocolError& error) {
   protocol_error_ = error.what();
+  return false;
+}
+
+// Cancellations stay queued: they take back requests that have been posted already.
+void ClientSession::fail_queued_requests(std::string_view reason) {
+  for (const std::uint64_t id : messages_.remove_requests())
+    enqueue_bytes(protocol::encode_error(id, "Fault", {{"reason", std::string(reason)}}));
 }
 
-// Reads what is available in a few reads, so that a cancellation is often read together with its request.
-ClientSession::ReadOutcome ClientSession::read_available() {
+// Reads and decodes until nothing is unread, so that what follows a request (its cancellation, malformed
+// bytes, the end of the connection) is known before the request is posted.
+//
+// Failure: a client sends at full speed messages that never fill the queue, such as requests that it cancels.
+// Symptom: the thread reads nobody else. Guard: the number of reads in one call is limited.
+ClientSession::ReadOutcome ClientSession::read_ahead() {
   std::array<char, kReadBytes> bytes;
-  ReadOutcome outcome = ReadOutcome::would_block;
-  for (int reads = 0; reads < kMaxReadsPerCall; ++reads) {
+  for (int reads = 0; decode_pending(); ++reads) {
+    if (reads == kMaxReadsPerCall) return ReadOutcome::read_limit;
     auto charge = memory_.try_charge(kReadBytes);
-    if (!charge) {
-      if (outcome == ReadOutcome::would_block) return ReadOutcome::no_memory;
-      break;
-    }
+    if (!charge) return ReadOutcome::no_memory;
     const auto size = socket_.try_read(bytes.data(), bytes.size());
     if (size == 0) return ReadOutcome::closed;
     if (!size) {
       arrival_clock_.on_nothing_unread();
-      break;
+      return ReadOutcome::nothing_unread;
     }
-    outcome = ReadOutcome::data;
     arrival_clock_.on_bytes_read(now());
     reader_.feed({bytes.data(), *size});
     input_charge_.take_from(*charge, *size);
-    if (*size < bytes.size()) break;
   }
-  decode_pending();
-  return outcome;
+  return ReadOutcome::queue_full;
 }
 
 void ClientSession::track_incomplete_message(Time now) {
@@ -86,7 +102,6 @@
   MessageQueue::Entry next = messages_.pop();
   credits_.hold(std::move(next.charge));
   event_queue_.post(to_event(id_, std::move(next.message), next.arrived, settings_));
-  decode_pending();
 }
 
 Pollable::PollResult ClientSession::on_ready(Time now, bool is_ready) {
@@ -97,6 +112,13 @@
   return may_transfer && start_reader() ? PollResult::handed_over : result;
 }
 
+// Other clients are served first.
+Pollable::PollResult ClientSession::continue_later(Time now) {
+  arrival_clock_.on_pause(now);
+  next_due_ = now;
+  return PollResult::wait_until_due;
+}
+
 Pollable::PollResult ClientSession::back_off(Time now, Time until) {
   arrival_clock_.on_pause(now);
   next_due_ = std::max(until, now + kReadBackoff);
@@ -109,7 +131,6 @@
 // Failure: a client has closed its connection. Symptom: engines run queries whose results nobody receives.
 // Guard: its remaining messages are not posted.
 Pollable::PollResult ClientSession::post_all(Time now) {
-  decode_pending();
   while (!messages_.is_empty()) {
     if (socket_.peer_has_closed()) return PollResult::closed;
     const Time permitted_at = results_sent_ > 0 ? now : rate_limiter_.next_permitted(now);
@@ -124,18 +145,19 @@
   // Set before the bytes leave the socket, so that abort_if_idle() never misses them.
   has_unposted_bytes_ = true;
   next_due_ = Time::max();
-  while (true) {
+  ReadOutcome outcome = ReadOutcome::queue_full;
+  while (outcome == ReadOutcome::queue_full) {
+    outcome = read_ahead();
+    if (outcome == ReadOutcome::closed) return PollResult::closed;
+    if (outcome == ReadOutcome::read_limit) return continue_later(now);
     const PollResult posted = post_all(now);
     if (posted != PollResult::wait_readable) return posted;
     if (protocol_error_) return end_reading(now, *protocol_error_);
-    track_incomplete_message(now);
-    const ReadOutcome outcome = read_available();
-    if (outcome == ReadOutcome::closed) return PollResult::closed;
-    if (outcome == ReadOutcome::no_memory) {
-      if (now >= message_timeout_.due()) return end_reading(now, "no memory for an incomplete message");
-      return back_off(now, now);
-    }
-    if (outcome == ReadOutcome::would_block) break;
+  }
+  track_incomplete_message(now);
+  if (outcome == ReadOutcome::no_memory) {
+    if (now >= message_timeout_.due()) return end_reading(now, "no memory for an incomplete message");
+    return back_off(now, now);
   }
   has_unposted_bytes_ = reader_.pending() > 0;
   if (stalled_ || now >= message_timeout_.due()) return stall(now, "incomplete message timed out");
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "config/settings.h"
 #include "net/arrival_clock.h"
@@ -89,12 +90,16 @@
 
   void enqueue(Item item, std::size_t counted_bytes);
   void enqueue_bytes(std::string bytes);
-  enum class ReadOutcome { would_block, data, closed, no_memory };
-  ReadOutcome read_available();
-  void decode_pending();
+  // queue_full: also if the client is malformed; the queued messages are to be posted before more is read.
+  enum class ReadOutcome { nothing_unread, queue_full, read_limit, closed, no_memory };
+  ReadOutcome read_ahead();
+  bool decode_pending();
+  bool decode_messages();
+  void fail_queued_requests(std::string_view reason);
   void track_incomplete_message(Time now);  // starts or ends its timeout
   void post_next();
   PollResult post_all(Time now);  // wait_readable: all decoded messages have been posted
+  PollResult continue_later(Time now);
   PollResult back_off(Time now, Time until);
   PollResult read_and_post(Time now);
   PollResult stall(Time now, const char* cause);
@@ -122,7 +127,7 @@
   // Reading thread only: the client poller, or its reader thread.
   protocol::MsgpackReader reader_;
   MessageQueue messages_;
-  std::optional<std::string> protocol_error_;  // found after the queued messages
+  std::optional<std::string> protocol_error_;  // found after the messages decoded last
   bool stalled_ = false;                      // an incomplete message has timed out; the client is still read
   Time close_deadline_ = Time::max();         // of a client that is no longer read
   ClientMemory::Charge input_charge_;         // of the bytes in reader_
--- a/src/net/message_queue.h
+++ b/src/net/message_queue.h
@@ -5,8 +5,10 @@
 // that reads the client. Memory: at most kMaxMessages messages, each charged to its client.
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <utility>
+#include <vector>
 
 #include "net/client_memory.h"
 #include "net/clock.h"
@@ -27,6 +29,8 @@
   bool is_full() const { return entries_.size() >= kMaxMessages; }
   // A cancellation of a queued request removes that request and is dropped itself.
   void push(Entry entry);
+  // Removes all requests and returns their ids, in order. Cancellations stay queued.
+  std::vector<std::uint64_t> remove_requests();
   Entry pop() {  // precondition: not empty
     Entry first = std::move(entries_.front());
     entries_.pop_front();
--- a/tests/node/net_race_test.cpp
+++ b/tests/node/net_race_test.cpp
@@ -11,38 +11,6 @@
 namespace yokestream::test {
 namespace {
 
-std::string encode_cancel(int number) {
-  return std::string("\x93\x02\xa6giveUp\x91", 10) + static_cast<char>(number);
-}
-
-std::string encode_probe(int number) {
-  return std::string("\x94\x00", 2) + static_cast<char>(number) + std::string("\xa5probe\x91\x80", 8);
-}
-
-// Waits for the first byte; all bytes of one write arrive together.
-void wait_for_bytes(int descriptor) {
-  char first = 0;
-  REQUIRE(::recv(descriptor, &first, 1, MSG_PEEK) == 1);
-}
-
-// Waits until the peer has closed the connection, without reading from it.
-void wait_for_end(int descriptor) {
-  pollfd peer{descriptor, POLLRDHUP, 0};
-  while (::poll(&peer, 1, -1) < 1 || (peer.revents & (POLLRDHUP | POLLHUP)) == 0) {
-  }
-}
-
-// A client that is only read when the test says so, as if the process had been suspended in between.
-struct PausedClient {
-  SessionFixture fixture{0};
-  TestListener listening;
-  std::unique_ptr<TestPeer> client = std::make_unique<TestPeer>(listening.endpoint);
-  Fd accepted{::accept(listening.fd.get(), nullptr, nullptr)};
-  int descriptor = accepted.get();
-  std::shared_ptr<net::ClientSession> session = fixture.session(std::move(accepted));
-  std::size_t drain_event_count() { return fixture.event_queue.drain_until(net::now()).size(); }
-};
-
 TEST_CASE_FIXTURE(PausedClient, "a request cancelled before it is read is not dispatched, and others are") {
   client->send(encode_request(1, "0123456789abcde1", "select 1") +
                encode_request(2, "0123456789abcde2", "select 2") + encode_cancel(1));
--- a/tests/node/net_test_peers.h
+++ b/tests/node/net_test_peers.h
@@ -27,15 +27,15 @@
     net::ConnectFailure failure;
     REQUIRE(socket.connect(to, Time::max(), &failure));
   }
-  // Reads up to and including `text`. Returns false if the connection is closed before.
-  bool read_until(const std::string& text) {
+  // Reads up to and including `text`. Returns false if the connection is closed before, or at the deadline.
+  bool read_until(const std::string& text, Time deadline = Time::max()) {
     char bytes[4096];
     std::size_t search_start = 0;  // only the length of `text` is searched again after each read
     for (std::size_t size = 1; size > 0; received.append(bytes, size)) {
       if (const auto position = received.find(text, search_start); position != std::string::npos)
         return received.erase(0, position + text.size()), true;
       search_start = received.size() < text.size() ? 0 : received.size() - text.size();
-      size = socket.read_until(bytes, sizeof bytes, Time::max());
+      size = socket.read_until(bytes, sizeof bytes, deadline);
     }
     return false;
   }
