A client's cancellations take effect before its requests are sent on

Cause: the rate limit of a client without a result was checked as messages were posted. What exceeded it waited in the queue and the socket, and the cancellations behind it. The first result lifted the limit, so the queued requests were posted before their cancellations were read.

Fix: the limit is checked as a message is decoded. A request beyond it is refused at once, and so is all else until a read finds nothing unread (IntakeLimiter), so nothing is accepted while its cancellation may be unread. The session knows its open calls (OpenCalls): the cancellation of a posted one goes first and is not limited, any other one is dropped. Refusals have a limit of their own: 1,024, then 50 messages a second. Decoding moves to client_decoding.cpp.

Test: net_order_test.cpp.

--- /dev/null
+++ b/src/net/client_decoding.cpp
@@ -0,0 +1,96 @@
+// Decides what becomes of each message of a ClientSession, in the order of its bytes. Runs on the thread that
+// reads the session.
+#include "net/client_session.h"
+
+namespace yokestream::net {
+namespace {
+
+// What a decoded message holds besides its bytes: its record and those of its fields.
+constexpr std::size_t kMessageOverheadBytes = 1024;
+
+}  // namespace
+
+// Returns nullopt if more bytes are needed for the next message; otherwise why decoding has stopped.
+//
+// Failure: a client tells a wrong length, so that a part of its statement is decoded as a whole message and
+// the rest as malformed bytes. Symptom: an engine runs the part, and the client is answered as if its
+// statement had run. Guard: malformed bytes also end the requests that are queued before them; they fail.
+std::optional<ClientSession::ReadOutcome> ClientSession::decode_pending(Time now) {
+  const auto outcome = decode_messages(now);
+  if (protocol_error_) fail_queued_requests("the connection's next message is malformed");
+  send_refusals();
+  return outcome;
+}
+
+std::optional<ClientSession::ReadOutcome> ClientSession::decode_messages(Time now) try {
+  while (!protocol_error_) {
+    if (messages_.is_full()) return ReadOutcome::queue_full;
+    if (!intake_limiter_.may_read(now)) return ReadOutcome::rate_limited;
+    auto overhead = memory_.try_charge(kMessageOverheadBytes);
+    if (!overhead && !messages_.is_empty()) return ReadOutcome::queue_full;
+    const std::size_t bytes_before = reader_.pending();
+    auto message = reader_.next();
+    if (!message) return std::nullopt;
+    ClientMemory::Charge charge = overhead ? std::move(*overhead) : memory_.charge(kMessageOverheadBytes);
+    charge.take_from(input_charge_, bytes_before - reader_.pending());
+    message_timeout_.reset();
+    if (stalled_) resume();
+    take_message(now, {std::move(*message), arrival_clock_.arrived_at(), std::move(charge)});
+  }
+  return ReadOutcome::malformed;
+} catch (const protocol::ProtocolError& error) {
+  protocol_error_ = error.what();
+  return ReadOutcome::malformed;
+}
+
+void ClientSession::take_message(Time now, MessageQueue::Entry entry) {
+  if (std::holds_alternative<protocol::OtherNotice>(entry.message)) {
+    protocol_error_ = "unknown notification";
+    return;
+  }
+  if (const auto* cancel = std::get_if<protocol::CancelCall>(&entry.message)) {
+    const std::uint64_t call = cancel->id;
+    return take_cancellation(now, call, std::move(entry));
+  }
+  const std::uint64_t call = *protocol::call_id(entry.message);
+  if (!intake_limiter_.accept(now, results_sent_ > 0)) return refuse(call);
+  open_calls_.add(call);
+  messages_.push(std::move(entry));
+}
+
+// Failure: a cancellation waits behind other messages of its client, or a client sends cancellations at full
+// speed. Symptom: an engine runs what was taken back; the dispatcher handles nothing else. Guard: the
+// cancellation of an open call is posted before all requests; that of any other call is dropped.
+void ClientSession::take_cancellation(Time now, dispatch::CallId call, MessageQueue::Entry entry) {
+  const bool is_queued = messages_.remove_request(call);
+  const bool is_open = open_calls_.remove(call);
+  if (is_open && !is_queued) messages_.push_first(std::move(entry));
+  if (!is_open) intake_limiter_.on_ignored(now, results_sent_ > 0);
+}
+
+void ClientSession::refuse(dispatch::CallId call) {
+  if (!std::exchange(refusal_logged_, true))
+    log_.write("client requests refused: cause=\"sent faster than a client without a result may\"");
+  refusals_ += protocol::encode_error(call, "Shed", {});
+}
+
+void ClientSession::send_refusals() {
+  if (!refusals_.empty()) enqueue_bytes(std::exchange(refusals_, {}));
+}
+
+// Cancellations stay queued: they take back requests that have been posted already.
+void ClientSession::fail_queued_requests(std::string_view reason) {
+  for (const dispatch::CallId call : messages_.remove_requests()) {
+    open_calls_.remove(call);
+    enqueue_bytes(protocol::encode_error(call, "Fault", {{"reason", std::string(reason)}}));
+  }
+}
+
+// The message that had timed out is complete after all.
+void ClientSession::resume() {
+  stalled_ = false;
+  close_cause_ = kClosedByClient;
+  event_queue_.post(dispatch::Event(dispatch::SessionResumed{id_}));
+}
+
+}  // namespace yokestream::net
--- a/src/net/client_reader_thread.cpp
+++ b/src/net/client_reader_thread.cpp
@@ -38,17 +38,19 @@
   return false;
 }
 
-// An incomplete or malformed message stays in the session, and the client poller handles it.
+// The client poller handles an incomplete or malformed message, and the limits of a client without memory or
+// with too many refused messages.
 bool ClientSession::run_reader() {
   while (true) {
-    const bool needs_bytes = decode_pending();
+    const auto decoded = decode_pending(now());
     while (!messages_.is_empty()) {
       if (!credits_.acquire()) return false;  // aborted; on_closed() reports it
       if (socket_.peer_has_closed()) return false;
       post_next();
     }
     if (protocol_error_) return true;
-    if (!needs_bytes) continue;
+    if (decoded == ReadOutcome::rate_limited) return true;
+    if (decoded) continue;
     track_incomplete_message(now());
     has_unposted_bytes_ = reader_.pending() > 0;
     // After a pause it reads until nothing is left, so that the backlog has an end (arrival_clock.h).
@@ -59,7 +61,7 @@
     }
     has_unposted_bytes_ = true;
     ReadOutcome outcome = ReadOutcome::read_limit;
-    while (outcome == ReadOutcome::read_limit) outcome = read_ahead();
+    while (outcome == ReadOutcome::read_limit) outcome = read_ahead(now());
     if (outcome == ReadOutcome::closed) return false;
     if (outcome == ReadOutcome::no_memory) return true;  // the client poller reads the client again later
   }
--- a/src/net/client_reading.cpp
+++ b/src/net/client_reading.cpp
@@ -12,9 +12,7 @@
 
 constexpr std::size_t kReadBytes = 4 * 1024;
 constexpr int kMaxReadsPerCall = 64;
-// What a decoded message holds besides its bytes: its record and those of its fields.
-constexpr std::size_t kMessageOverheadBytes = 1024;
-// The delay before a retry when a credit, the rate limiter's permission or memory is lacking.
+// The delay before a retry when a credit or memory is lacking.
 constexpr Duration kReadBackoff = std::chrono::milliseconds(10);
 // The interval of checks whether a client that is no longer read can be closed.
 constexpr Duration kCloseCheckInterval = std::chrono::milliseconds(50);
@@ -27,68 +25,29 @@
 
 }  // namespace
 
-// Returns true if more bytes are needed for the next message; false if the queue is full, memory is lacking
-// or the client is malformed.
-//
-// Failure: a client tells a wrong length, so that a part of its statement is decoded as a whole message and
-// the rest as malformed bytes. Symptom: an engine runs the part, and the client is answered as if its
-// statement had run. Guard: malformed bytes also end the requests that are queued before them; they fail.
-bool ClientSession::decode_pending() {
-  const bool needs_bytes = decode_messages();
-  if (protocol_error_) fail_queued_requests("the connection's next message is malformed");
-  return needs_bytes && !protocol_error_;
-}
-
-bool ClientSession::decode_messages() try {
-  while (!protocol_error_ && !messages_.is_full()) {
-    auto overhead = memory_.try_charge(kMessageOverheadBytes);
-    if (!overhead && !messages_.is_empty()) return false;
-    const std::size_t bytes_before = reader_.pending();
-    auto message = reader_.next();
-    if (!message) return true;
-    ClientMemory::Charge charge = overhead ? std::move(*overhead) : memory_.charge(kMessageOverheadBytes);
-    charge.take_from(input_charge_, bytes_before - reader_.pending());
-    message_timeout_.reset();
-    if (stalled_) resume();
-    if (std::holds_alternative<protocol::OtherNotice>(*message))
-      protocol_error_ = "unknown notification";
-    else
-      messages_.push({std::move(*message), arrival_clock_.arrived_at(), std::move(charge)});
-  }
-  return false;
-} catch (const protocol::ProtocolError& error) {
-  protocol_error_ = error.what();
-  return false;
-}
-
-// Cancellations stay queued: they take back requests that have been posted already.
-void ClientSession::fail_queued_requests(std::string_view reason) {
-  for (const std::uint64_t id : messages_.remove_requests())
-    enqueue_bytes(protocol::encode_error(id, "Fault", {{"reason", std::string(reason)}}));
-}
-
 // Reads and decodes until nothing is unread, so that what follows a request (its cancellation, malformed
 // bytes, the end of the connection) is known before the request is posted.
 //
 // Failure: a client sends at full speed messages that never fill the queue, such as requests that it cancels.
 // Symptom: the thread reads nobody else. Guard: the number of reads in one call is limited.
-ClientSession::ReadOutcome ClientSession::read_ahead() {
+ClientSession::ReadOutcome ClientSession::read_ahead(Time now) {
   std::array<char, kReadBytes> bytes;
-  for (int reads = 0; decode_pending(); ++reads) {
-    if (reads == kMaxReadsPerCall) return ReadOutcome::read_limit;
+  for (int reads = 0; reads < kMaxReadsPerCall; ++reads) {
+    if (const auto decoded = decode_pending(now)) return *decoded;
     auto charge = memory_.try_charge(kReadBytes);
     if (!charge) return ReadOutcome::no_memory;
     const auto size = socket_.try_read(bytes.data(), bytes.size());
     if (size == 0) return ReadOutcome::closed;
     if (!size) {
       arrival_clock_.on_nothing_unread();
+      intake_limiter_.on_nothing_unread();
       return ReadOutcome::nothing_unread;
     }
-    arrival_clock_.on_bytes_read(now());
+    arrival_clock_.on_bytes_read(net::now());
     reader_.feed({bytes.data(), *size});
     input_charge_.take_from(*charge, *size);
   }
-  return ReadOutcome::queue_full;
+  return ReadOutcome::read_limit;
 }
 
 void ClientSession::track_incomplete_message(Time now) {
@@ -126,16 +85,14 @@
 }
 
 // Failure: a client sends messages faster than they are handled. Symptom: the poller's other clients wait.
-// Guard: the client is not read until a credit is available and the rate limiter permits a message.
+// Guard: its messages wait until a credit is available.
 //
 // Failure: a client has closed its connection. Symptom: engines run queries whose results nobody receives.
 // Guard: its remaining messages are not posted.
 Pollable::PollResult ClientSession::post_all(Time now) {
   while (!messages_.is_empty()) {
     if (socket_.peer_has_closed()) return PollResult::closed;
-    const Time permitted_at = results_sent_ > 0 ? now : rate_limiter_.next_permitted(now);
-    if (permitted_at > now || !credits_.try_acquire()) return back_off(now, permitted_at);
-    rate_limiter_.record(now);
+    if (!credits_.try_acquire()) return back_off(now, now);
     post_next();
   }
   return PollResult::wait_readable;
@@ -147,12 +104,13 @@
   next_due_ = Time::max();
   ReadOutcome outcome = ReadOutcome::queue_full;
   while (outcome == ReadOutcome::queue_full) {
-    outcome = read_ahead();
+    outcome = read_ahead(now);
     if (outcome == ReadOutcome::closed) return PollResult::closed;
     if (outcome == ReadOutcome::read_limit) return continue_later(now);
     const PollResult posted = post_all(now);
     if (posted != PollResult::wait_readable) return posted;
     if (protocol_error_) return end_reading(now, *protocol_error_);
+    if (outcome == ReadOutcome::rate_limited) return back_off(now, intake_limiter_.next_read(now));
   }
   track_incomplete_message(now);
   if (outcome == ReadOutcome::no_memory) {
@@ -184,13 +142,6 @@
   return PollResult::wait_until_due;
 }
 
-// The message that had timed out is complete after all.
-void ClientSession::resume() {
-  stalled_ = false;
-  close_cause_ = kClosedByClient;
-  event_queue_.post(dispatch::Event(dispatch::SessionResumed{id_}));
-}
-
 // Failure: a client with open requests sends a malformed message, and its connection is closed at once.
 // Symptom: it loses the responses to those requests. Guard: the client is not read any more, and the
 // dispatcher closes the connection once all its requests have been answered.
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -12,10 +12,6 @@
 constexpr std::size_t kResponseOverheadBytes = 128;
 // Bounds the messages of one client that are posted and not yet handled by the dispatcher.
 constexpr std::size_t kMaxUnhandledMessages = 16;
-// The rate limit of a client without a result: a client may have 32 open requests and cancel each of them.
-constexpr int kBurstMessages = 64;
-constexpr Duration kMessageInterval = std::chrono::milliseconds(20);
-
 protocol::Fields quote_fields(const scheduler::WaitEstimate& quote) {
   const auto ms = [](Duration d) {
     return std::to_string(std::chrono::ceil<std::chrono::milliseconds>(d).count());
@@ -40,7 +36,6 @@
       socket_(std::move(fd)),
       memory_(client_memory_budget, kMemoryAllowanceBytes),
       credits_(kMaxUnhandledMessages),
-      rate_limiter_(kBurstMessages, kMessageInterval),
       sender_(
           kMaxQueuedBytes, socket_, [](const Item& item) { return item.bytes; },
           [this] {
@@ -97,6 +92,7 @@
 
 void ClientSession::send_result(dispatch::CallId call, dispatch::Result result) {
   ++results_sent_;
+  open_calls_.remove(call);
   protocol::Fields fields;
   if (const auto it = attached_quotes_.find(call); it != attached_quotes_.end()) {
     fields = quote_fields(it->second);
@@ -113,10 +109,12 @@
 }
 
 void ClientSession::send_quote(dispatch::CallId call, const scheduler::WaitEstimate& quote) {
+  open_calls_.remove(call);
   enqueue_bytes(protocol::encode_result(call, "", quote_fields(quote)));
 }
 
 void ClientSession::send_rejection(dispatch::CallId call, Duration retry_after) {
+  open_calls_.remove(call);
   attached_quotes_.erase(call);
   protocol::Fields fields;
   const auto ms = std::chrono::ceil<std::chrono::milliseconds>(retry_after).count();
@@ -125,11 +123,13 @@
 }
 
 void ClientSession::send_failure(dispatch::CallId call, std::string_view cause) {
+  open_calls_.remove(call);
   attached_quotes_.erase(call);
   enqueue_bytes(protocol::encode_error(call, "Fault", {{"reason", std::string(cause)}}));
 }
 
 void ClientSession::send_readiness(dispatch::CallId call, bool is_ready) {
+  open_calls_.remove(call);
   enqueue_bytes(protocol::encode_probe_answer(call, is_ready));
 }
 
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -19,11 +19,12 @@
 #include "net/arrival_clock.h"
 #include "net/client_memory.h"
 #include "net/events.h"
+#include "net/intake_limiter.h"
 #include "net/message_credits.h"
 #include "net/message_queue.h"
 #include "net/message_timeout.h"
+#include "net/open_calls.h"
 #include "net/poller.h"
-#include "net/rate_limiter.h"
 #include "net/sender.h"
 #include "net/thread.h"
 #include "protocol/msgpack_rpc.h"
@@ -90,11 +91,24 @@
 
   void enqueue(Item item, std::size_t counted_bytes);
   void enqueue_bytes(std::string bytes);
-  // queue_full: also if the client is malformed; the queued messages are to be posted before more is read.
-  enum class ReadOutcome { nothing_unread, queue_full, read_limit, closed, no_memory };
-  ReadOutcome read_ahead();
-  bool decode_pending();
-  bool decode_messages();
+  // Why reading or decoding stops. queue_full: the queued messages are to be posted first; rate_limited:
+  // until intake_limiter_ permits it; read_limit: other clients are to be read first.
+  enum class ReadOutcome {
+    nothing_unread,
+    queue_full,
+    rate_limited,
+    read_limit,
+    malformed,
+    closed,
+    no_memory
+  };
+  ReadOutcome read_ahead(Time now);
+  std::optional<ReadOutcome> decode_pending(Time now);
+  std::optional<ReadOutcome> decode_messages(Time now);
+  void take_message(Time now, MessageQueue::Entry entry);
+  void take_cancellation(Time now, dispatch::CallId call, MessageQueue::Entry entry);
+  void refuse(dispatch::CallId call);
+  void send_refusals();
   void fail_queued_requests(std::string_view reason);
   void track_incomplete_message(Time now);  // starts or ends its timeout
   void post_next();
@@ -121,6 +135,7 @@
   Socket socket_;
   ClientMemory memory_;     // declared before the members that hold charges
   MessageCredits credits_;  // one for each message posted and not yet handled
+  OpenCalls open_calls_;
   std::atomic<int> results_sent_{0};
   std::atomic<bool> has_unposted_bytes_{false};  // bytes read whose messages are not posted yet
   std::atomic<bool> reading_stopped_{false};     // for good; responses are still written after that
@@ -132,7 +147,9 @@
   Time close_deadline_ = Time::max();         // of a client that is no longer read
   ClientMemory::Charge input_charge_;         // of the bytes in reader_
   dispatch::Reservation reader_reservation_;  // one of reader_pool_.reader_slots
-  RateLimiter rate_limiter_;
+  IntakeLimiter intake_limiter_;
+  std::string refusals_;  // encoded and not sent yet
+  bool refusal_logged_ = false;
   MessageTimeout message_timeout_;
   Time next_due_ = Time::max();
   ArrivalClock arrival_clock_;
--- a/src/net/message_queue.h
+++ b/src/net/message_queue.h
@@ -27,8 +27,9 @@
 
   bool is_empty() const { return entries_.empty(); }
   bool is_full() const { return entries_.size() >= kMaxMessages; }
-  // A cancellation of a queued request removes that request and is dropped itself.
-  void push(Entry entry);
+  void push(Entry entry) { entries_.push_back(std::move(entry)); }
+  void push_first(Entry entry) { entries_.push_front(std::move(entry)); }
+  bool remove_request(std::uint64_t id);  // false: no such request is queued
   // Removes all requests and returns their ids, in order. Cancellations stay queued.
   std::vector<std::uint64_t> remove_requests();
   Entry pop() {  // precondition: not empty
@@ -38,8 +39,6 @@
   }
 
  private:
-  bool remove_request(std::uint64_t id);  // false: no such request is queued
-
   std::deque<Entry> entries_;
 };
 
--- /dev/null
+++ b/src/net/open_calls.h
@@ -0,0 +1,31 @@
+// The call numbers of one client that are accepted and not yet answered or cancelled.
+#pragma once
+
+#include <cstdint>
+#include <mutex>
+#include <set>
+
+namespace yokestream::net {
+
+// Thread-safe: the thread that reads the client adds and cancels, the dispatcher's thread answers. Memory:
+// bounded by the messages that may be queued, posted or open (message_queue.h, message_credits.h,
+// dispatch/client_sessions.h).
+class OpenCalls {
+ public:
+  // False: a call of this number is open already.
+  bool add(std::uint64_t number) {
+    const std::lock_guard lock(mutex_);
+    return numbers_.insert(number).second;
+  }
+  // The call is answered or cancelled. False: it was not open.
+  bool remove(std::uint64_t number) {
+    const std::lock_guard lock(mutex_);
+    return numbers_.erase(number) > 0;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::set<std::uint64_t> numbers_;  // guarded by mutex_
+};
+
+}  // namespace yokestream::net
--- a/src/protocol/msgpack_rpc.h
+++ b/src/protocol/msgpack_rpc.h
@@ -35,6 +35,13 @@
 };
 struct OtherNotice {};  // a notification that is not known here
 using ClientMessage = std::variant<Call, CancelCall, Probe, BadCall, OtherNotice>;
+// The id of a message that is owed a response; nullopt: it is a notification.
+inline std::optional<std::uint64_t> call_id(const ClientMessage& message) {
+  if (const auto* call = std::get_if<Call>(&message)) return call->id;
+  if (const auto* bad = std::get_if<BadCall>(&message)) return bad->id;
+  if (const auto* probe = std::get_if<Probe>(&message)) return probe->id;
+  return std::nullopt;
+}
 
 // Fed bytes as they come, in pieces of any size; yields whole messages. Remembers how far it has looked, so
 // no byte of a message is scanned twice for its end.
--- a/tests/node/net_order_test.cpp
+++ b/tests/node/net_order_test.cpp
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 #include <sys/ioctl.h>
 
+#include <set>
+
 #include "net_session_fixture.h"
 
 namespace yokestream::test {
@@ -72,5 +74,108 @@
   CHECK(std::holds_alternative<dispatch::SessionStalled>(std::get<dispatch::Event>(events[1])));
 }
 
+// Plays a dispatcher that lets a client have a few open requests, as with one that has no result yet.
+struct BriefDispatcher {
+  static constexpr std::size_t kMaxOpen = 8;
+  void handle_events(PausedClient& paused) {
+    auto events = paused.fixture.event_queue.drain_until(net::now());
+    for (; !events.empty(); events.pop_front()) {
+      const auto& event = std::get<dispatch::Event>(events.front());
+      if (const auto* request = std::get_if<dispatch::RequestReceived>(&event)) {
+        ++received;
+        if (open.size() < kMaxOpen)
+          open.insert(request->call);
+        else
+          paused.session->send_rejection(request->call, {});
+      }
+      if (const auto* cancelled = std::get_if<dispatch::RequestCancelled>(&event))
+        open.erase(cancelled->call);
+      paused.session->release_message_credit();
+    }
+  }
+  std::set<dispatch::CallId> open;
+  int received = 0;
+};
+
+// Guards against running what was taken back long ago: cancellations waited behind requests that were only
+// read when the client's rate permitted it (review/9, docs/incidents/late-cancellation.md).
+TEST_CASE_FIXTURE(PausedClient, "hundreds of requests that are cancelled at once are all over within 100 ms" *
+                                    doctest::timeout(kTestTimeoutS)) {
+  constexpr int kRequests = 100;
+  std::string bytes;
+  for (int number = 1; number <= kRequests; ++number)
+    bytes += encode_request(number, std::to_string(1000000000000000 + number), std::string(200, 'x'));
+  for (int number = 1; number <= kRequests; ++number) bytes += encode_cancel(number);
+  client->send(bytes);
+  wait_for_unread(descriptor, bytes.size());
+  BriefDispatcher dispatcher;
+  const Time start = net::now();
+  for (Time time = start; time < start + 100ms; time += 10ms) {
+    session->on_ready(time, true);
+    dispatcher.handle_events(*this);
+  }
+  CHECK(dispatcher.open.empty());
+  const int received = dispatcher.received;
+  session->send_result(1000, {"row", {}});  // from now on the client's rate is not limited
+  for (Time time = start + 100ms; time < start + 3s; time += 10ms) {
+    session->on_ready(time, false);
+    dispatcher.handle_events(*this);
+  }
+  CHECK(dispatcher.received == received);
+}
+
+// Guards against cancellations that cost the dispatcher as much as requests.
+TEST_CASE_FIXTURE(PausedClient,
+                  "a cancellation is posted before queued requests, and only if its call is open" *
+                      doctest::timeout(kTestTimeoutS)) {
+  std::string bytes;
+  for (int number = 1; number <= 20; ++number)  // more than a client has credits
+    bytes += encode_request(number, std::to_string(1000000000000000 + number), "select 1");
+  client->send(bytes);
+  wait_for_unread(descriptor, bytes.size());
+  session->on_ready(net::now(), true);
+  CHECK(drain_event_count() == 16);
+  session->send_rejection(2, {});
+  client->send(encode_cancel(1) + encode_cancel(2) + encode_cancel(20) + encode_cancel(99));
+  wait_for_bytes(descriptor);
+  session->release_message_credit();
+  session->on_ready(net::now(), true);
+  const auto events = fixture.event_queue.drain_until(net::now());
+  REQUIRE(events.size() == 1);
+  CHECK(std::get<dispatch::RequestCancelled>(std::get<dispatch::Event>(events[0])).call == 1);
+  for (int i = 0; i < 16; ++i) session->release_message_credit();
+  session->on_ready(net::now(), true);
+  CHECK(drain_event_count() == 3);  // the requests 17 to 19
+}
+
+TEST_CASE("beyond its rate a client's requests are refused until nothing is unread") {
+  net::IntakeLimiter limiter;
+  const Time start{1000s};
+  int accepted = 0;
+  while (limiter.accept(start, false)) ++accepted;
+  CHECK(accepted == 64);
+  CHECK_FALSE(limiter.accept(start + 1s, false));  // the rate permits it, but more is unread
+  CHECK_FALSE(limiter.accept(start + 1s, true));
+  limiter.on_nothing_unread();
+  CHECK(limiter.accept(start + 1s, false));
+  CHECK(limiter.accept(start, true));
+}
+
+// Guards against a client that sends at full speed and takes the time of all others.
+TEST_CASE("a client with too many refused requests is read at a fixed rate") {
+  net::IntakeLimiter limiter;
+  const Time start{1000s};
+  int read = 0;
+  for (; limiter.may_read(start); ++read) limiter.accept(start, false);
+  CHECK(read == 64 + 1024);
+  const Time next = limiter.next_read(start);
+  CHECK((next == start + 20ms));
+  CHECK(limiter.may_read(next));
+  limiter.on_ignored(next, false);
+  CHECK_FALSE(limiter.may_read(next));
+  limiter.on_ignored(next + 20ms, true);
+  CHECK(limiter.may_read(next + 20ms));
+}
+
 }  // namespace
 }  // namespace yokestream::test
