A large request that waits for memory is read later instead of dropped

Cause: a message without memory for its next bytes counted as one whose client had stopped writing. And the budget knew no order: messages that waited for their rate held it, and clients that each hold a part of a large message can hold all of it with none getting on.

Fix: while a client is not read for lack of memory its time limits count anew. What exceeds an ordinary message (8 KB) is read only once memory for the largest one is reserved, so each client that has some can finish. Clients without a result share one half of the budget.

Tests: net_memory_test.cpp.

--- a/src/dispatch/budget.h
+++ b/src/dispatch/budget.h
@@ -38,9 +38,10 @@
 class Budget {
  public:
   explicit Budget(std::size_t limit) : limit_(limit) {}
-  // Adds `amount` to `reservation`. Returns false, and reserves nothing, if less than that is available.
-  bool try_reserve(Reservation& reservation, std::size_t amount) {
-    if (used_.fetch_add(amount) + amount > limit_ - std::min(limit_, withheld_.load())) {
+  // Adds `amount` to `reservation`. Returns false, and reserves nothing, if less than that is available, or
+  // less than `keep_free` would be left.
+  bool try_reserve(Reservation& reservation, std::size_t amount, std::size_t keep_free = 0) {
+    if (used_.fetch_add(amount) + amount > limit_ - std::min(limit_, withheld_.load() + keep_free)) {
       used_ -= amount;
       return false;
     }
@@ -49,6 +50,7 @@
     return true;
   }
   std::size_t reserved() const { return used_; }
+  std::size_t limit() const { return limit_; }
   // Makes `amount` unavailable to new reservations until the next call. Existing reservations are kept.
   void set_withheld(std::size_t amount) { withheld_ = amount; }
 
--- a/src/net/client_memory.h
+++ b/src/net/client_memory.h
@@ -5,6 +5,9 @@
 // limit and is killed. Guard: each client has a small allowance; everything beyond all allowances comes from
 // one budget. When it is used up, a client is not read until something of its own has been released, so it
 // can always send a request of ordinary size and receive its response.
+//
+// Failure: clients that never send anything useful use up the budget. Symptom: larger requests of all others
+// wait for as long as they do. Guard: clients without a result share one half of the budget.
 #pragma once
 
 #include <algorithm>
@@ -57,12 +60,19 @@
 
   ClientMemory(dispatch::Budget& budget, std::size_t allowance) : budget_(budget), allowance_(allowance) {}
 
+  // The client has had a result: it may use the whole budget.
+  void on_served() {
+    const std::lock_guard lock(mutex_);
+    was_served_ = true;
+  }
   // nullopt: neither the allowance nor the budget has room; nothing is charged.
   std::optional<Charge> try_charge(std::size_t amount) {
     const std::lock_guard lock(mutex_);
     const std::size_t needed = beyond_allowance(charged_ + amount);
     const std::size_t reserved = reservation_.amount();
-    if (needed > reserved && !budget_.try_reserve(reservation_, needed - reserved)) return std::nullopt;
+    const std::size_t keep_free = was_served_ ? 0 : budget_.limit() / 2;
+    if (needed > reserved && !budget_.try_reserve(reservation_, needed - reserved, keep_free))
+      return std::nullopt;
     charged_ += amount;
     return Charge(this, amount);
   }
@@ -85,6 +95,7 @@
   dispatch::Budget& budget_;
   const std::size_t allowance_;
   std::mutex mutex_;
+  bool was_served_ = false;            // guarded by mutex_
   std::size_t charged_ = 0;            // guarded by mutex_
   dispatch::Reservation reservation_;  // guarded by mutex_; what exceeds the allowance
 };
--- a/src/net/client_reader_thread.cpp
+++ b/src/net/client_reader_thread.cpp
@@ -62,6 +62,7 @@
     has_unposted_bytes_ = true;
     ReadOutcome outcome = ReadOutcome::read_limit;
     while (outcome == ReadOutcome::read_limit) outcome = read_ahead(now());
+    release_spare_input();
     if (outcome == ReadOutcome::closed) return false;
     if (outcome == ReadOutcome::no_memory) return true;  // the client poller reads the client again later
   }
--- a/src/net/client_reading.cpp
+++ b/src/net/client_reading.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::size_t kReadBytes = 4 * 1024;
 constexpr int kMaxReadsPerCall = 64;
+constexpr std::size_t kOrdinaryMessageBytes = 8 * 1024;
+constexpr std::size_t kMaxMessageBytes = protocol::MsgpackReader::Bounds{}.message_bytes;
 // The delay before a retry when a credit or memory is lacking.
 constexpr Duration kReadBackoff = std::chrono::milliseconds(10);
 // The interval of checks whether a client that is no longer read can be closed.
@@ -34,8 +36,7 @@
   std::array<char, kReadBytes> bytes;
   for (int reads = 0; reads < kMaxReadsPerCall; ++reads) {
     if (const auto decoded = decode_pending(now)) return *decoded;
-    auto charge = memory_.try_charge(kReadBytes);
-    if (!charge) return ReadOutcome::no_memory;
+    if (!reserve_input()) return ReadOutcome::no_memory;
     const auto size = socket_.try_read(bytes.data(), bytes.size());
     if (size == 0) return ReadOutcome::closed;
     if (!size) {
@@ -45,11 +46,29 @@
     }
     arrival_clock_.on_bytes_read(net::now());
     reader_.feed({bytes.data(), *size});
-    input_charge_.take_from(*charge, *size);
   }
   return ReadOutcome::read_limit;
 }
 
+// Reserves memory for the next read.
+//
+// Failure: many clients each hold a part of a large message, and together all of the budget. Symptom: none of
+// the messages gets complete. Guard: what exceeds an ordinary message is read only once memory for the
+// largest one is reserved, so each client that has some can finish.
+bool ClientSession::reserve_input() {
+  const std::size_t needed = reader_.pending() + kReadBytes;
+  if (needed <= input_charge_.amount()) return true;
+  const std::size_t target = needed <= kOrdinaryMessageBytes ? needed : kMaxMessageBytes + kReadBytes;
+  auto charge = memory_.try_charge(target - input_charge_.amount());
+  if (!charge) return false;
+  input_charge_.take_from(*charge, charge->amount());
+  return true;
+}
+
+void ClientSession::release_spare_input() {
+  if (reader_.pending() + kReadBytes <= kOrdinaryMessageBytes) input_charge_.shrink_to(reader_.pending());
+}
+
 void ClientSession::track_incomplete_message(Time now) {
   if (reader_.pending() == 0)
     message_timeout_.reset();
@@ -105,6 +124,7 @@
   ReadOutcome outcome = ReadOutcome::queue_full;
   while (outcome == ReadOutcome::queue_full) {
     outcome = read_ahead(now);
+    release_spare_input();
     if (outcome == ReadOutcome::closed) return PollResult::closed;
     if (outcome == ReadOutcome::read_limit) return continue_later(now);
     const PollResult posted = post_all(now);
@@ -114,7 +134,10 @@
   }
   track_incomplete_message(now);
   if (outcome == ReadOutcome::no_memory) {
-    if (now >= message_timeout_.due()) return end_reading(now, "no memory for an incomplete message");
+    message_timeout_.restart(now);
+    if (!std::exchange(memory_wait_logged_, true))
+      log_.write("client not read: cause=\"no memory for its input\" unread_message_bytes=" +
+                 std::to_string(reader_.pending()));
     return back_off(now, now);
   }
   has_unposted_bytes_ = reader_.pending() > 0;
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -92,6 +92,7 @@
 
 void ClientSession::send_result(dispatch::CallId call, dispatch::Result result) {
   ++results_sent_;
+  memory_.on_served();
   open_calls_.remove(call);
   protocol::Fields fields;
   if (const auto it = attached_quotes_.find(call); it != attached_quotes_.end()) {
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -105,6 +105,8 @@
   ReadOutcome read_ahead(Time now);
   std::optional<ReadOutcome> decode_pending(Time now);
   std::optional<ReadOutcome> decode_messages(Time now);
+  bool reserve_input();
+  void release_spare_input();
   void take_message(Time now, MessageQueue::Entry entry);
   void take_cancellation(Time now, dispatch::CallId call, MessageQueue::Entry entry);
   void refuse(dispatch::CallId call);
@@ -145,11 +147,12 @@
   std::optional<std::string> protocol_error_;  // found after the messages decoded last
   bool stalled_ = false;                      // an incomplete message has timed out; the client is still read
   Time close_deadline_ = Time::max();         // of a client that is no longer read
-  ClientMemory::Charge input_charge_;         // of the bytes in reader_
+  ClientMemory::Charge input_charge_;         // of the bytes in reader_ and of the next read
   dispatch::Reservation reader_reservation_;  // one of reader_pool_.reader_slots
   IntakeLimiter intake_limiter_;
   std::string refusals_;  // encoded and not sent yet
   bool refusal_logged_ = false;
+  bool memory_wait_logged_ = false;
   MessageTimeout message_timeout_;
   Time next_due_ = Time::max();
   ArrivalClock arrival_clock_;
--- a/src/net/message_timeout.h
+++ b/src/net/message_timeout.h
@@ -19,6 +19,11 @@
     if (bytes != bytes_) progressed_at_ = now;
     bytes_ = bytes;
   }
+  // At `now` the rest of the message is not read for a reason of this process: its limits count anew.
+  void restart(Time now) {
+    started_at_ = now;
+    progressed_at_ = now;
+  }
   // The message is complete, or is dropped.
   void reset() { bytes_ = 0; }
   // When the message times out; Time::max() if no message is incomplete.
--- a/tests/node/net_memory_test.cpp
+++ b/tests/node/net_memory_test.cpp
@@ -94,5 +94,70 @@
   for (int i = 0; i < 200; ++i) CHECK(pair.peer.read_until(cause));  // none of its responses is lost
 }
 
+TEST_CASE("a client without a result leaves one half of the budget to the others") {
+  dispatch::Budget budget(100);
+  net::ClientMemory newcomer(budget, 10);
+  net::ClientMemory served(budget, 10);
+  served.on_served();
+  CHECK_FALSE(newcomer.try_charge(61));
+  const auto half = newcomer.try_charge(60);
+  REQUIRE(half);
+  CHECK_FALSE(newcomer.try_charge(1));
+  CHECK(served.try_charge(60));
+}
+
+// Guards against the loss of a large request: a client that was not read for lack of memory was taken for one
+// that had stopped writing (review/7, docs/incidents/starved-input.md).
+TEST_CASE_FIXTURE(PausedClient, "a request that waits for memory beyond its time limit is read later" *
+                                    doctest::timeout(30)) {
+  dispatch::Reservation rest;
+  REQUIRE(fixture.budget.try_reserve(rest, kBudgetBytes));
+  const std::string bytes = encode_long_request(1, "0123456789abcdef", std::string(40'000, 'x'));
+  client->send(bytes);
+  wait_for_bytes(descriptor);
+  const Time start = net::now();
+  for (Time time = start; time < start + 15s; time += 500ms)
+    CHECK((session->on_ready(time, false) == net::Pollable::PollResult::wait_until_due));
+  CHECK(drain_event_count() == 0);
+  rest = {};
+  CHECK((session->on_ready(start + 15s, false) == net::Pollable::PollResult::wait_readable));
+  CHECK(drain_event_count() == 1);
+}
+
+// Guards against a standstill: each of many clients holds a part of a large request, and none gets the memory
+// for the rest.
+TEST_CASE("large requests that exceed the budget together are all read, one after the other" *
+          doctest::timeout(60)) {
+  constexpr int kClients = 60;
+  SessionFixture fixture(0);
+  std::vector<std::unique_ptr<SocketPair>> pairs;
+  std::vector<std::shared_ptr<net::ClientSession>> sessions;
+  const auto encode = [](int number) {
+    return encode_long_request(number, std::to_string(1000000000000000 + number), std::string(50'000, 'x'));
+  };
+  for (int number = 1; number <= kClients; ++number) {
+    pairs.push_back(std::make_unique<SocketPair>());
+    sessions.push_back(fixture.session(Fd(::dup(pairs.back()->socket.descriptor()))));
+    pairs.back()->peer.send(encode(number).substr(0, 40'000));
+    while (unread_bytes(*pairs.back()) < 40'000) std::this_thread::yield();
+    sessions.back()->on_ready(net::now(), true);
+  }
+  CHECK(fixture.budget.reserved() <= kBudgetBytes);
+  for (int number = 1; number <= kClients; ++number)
+    pairs[static_cast<std::size_t>(number - 1)]->peer.send(encode(number).substr(40'000));
+  int received = 0;
+  for (Time time = net::now(); received < kClients && time < net::now() + 60s; time += 10ms) {
+    for (const auto& session : sessions) session->on_ready(time, true);
+    for (auto events = fixture.event_queue.drain_until(net::now()); !events.empty(); events.pop_front()) {
+      const auto* request =
+          std::get_if<dispatch::RequestReceived>(&std::get<dispatch::Event>(events.front()));
+      if (!request) continue;
+      sessions[request->call - 1]->release_message_credit();
+      ++received;
+    }
+  }
+  CHECK(received == kClients);
+}
+
 }  // namespace
 }  // namespace yokestream::test
