A message under the number of an open call closes the connection

Cause: only the admission of a valid request looks whether its number is open.

Fix: the look stands where messages are decoded, for each kind.

Tests: net_order_test.cpp, two cases.

--- a/src/net/client_decoding.cpp
+++ b/src/net/client_decoding.cpp
@@ -1,5 +1,7 @@
 // Decides what becomes of each message of a ClientSession, in the order of its bytes. Runs on the thread that
 // reads the session.
+#include <stdexcept>
+
 #include "net/client_session.h"
 
 namespace yokestream::net {
@@ -8,6 +10,12 @@
 // What a decoded message holds besides its bytes: its record and those of its fields.
 constexpr std::size_t kMessageOverheadBytes = 1024;
 
+// Ends the connection without a response to any of its calls.
+class ReusedCallError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
 }  // namespace
 
 // Returns nullopt if more bytes are needed for the next message; otherwise why decoding has stopped.
@@ -43,6 +51,9 @@
   return ReadOutcome::malformed;
 }
 
+// Failure: a client uses the number of an open call again. Symptom: two responses under one number, and one
+// of them may be a result for another statement. Guard: the connection is closed, whatever the second message
+// is.
 void ClientSession::take_message(Time now, MessageQueue::Entry entry) {
   if (std::holds_alternative<protocol::OtherNotice>(entry.message)) {
     protocol_error_ = "unknown notification";
@@ -53,6 +64,7 @@
     return take_cancellation(now, call, std::move(entry));
   }
   const std::uint64_t call = *protocol::call_id(entry.message);
+  if (open_calls_.contains(call)) throw ReusedCallError("call id of an open request reused");
   if (!intake_limiter_.accept(now, results_sent_ > 0)) return refuse(call);
   open_calls_.add(call);
   messages_.push(std::move(entry));
--- a/src/net/open_calls.h
+++ b/src/net/open_calls.h
@@ -12,10 +12,13 @@
 // dispatch/client_sessions.h).
 class OpenCalls {
  public:
-  // False: a call of this number is open already.
-  bool add(std::uint64_t number) {
+  bool contains(std::uint64_t number) {
     const std::lock_guard lock(mutex_);
-    return numbers_.insert(number).second;
+    return numbers_.count(number) > 0;
+  }
+  void add(std::uint64_t number) {
+    const std::lock_guard lock(mutex_);
+    numbers_.insert(number);
   }
   // The call is answered or cancelled. False: it was not open.
   bool remove(std::uint64_t number) {
--- a/tests/node/net_order_test.cpp
+++ b/tests/node/net_order_test.cpp
@@ -148,6 +148,48 @@
   CHECK(drain_event_count() == 3);  // the requests 17 to 19
 }
 
+// Guards against two responses under one number: only a valid request's number was looked up (REPORT-2.md,
+// docs/incidents/two-responses.md).
+TEST_CASE("a message under the number of an open call closes the connection, whatever it is" *
+          doctest::timeout(kTestTimeoutS)) {
+  const std::string request = encode_request(1, "0123456789abcde1", "select 1");
+  const std::string of_no_class = encode_request(1, "0123456789abcde2", "select 2", "none");
+  for (const std::string& second : {request, of_no_class, encode_probe(1)}) {
+    PausedClient together;
+    together.client->send(request + second);
+    wait_for_unread(together.descriptor, request.size() + second.size());
+    CHECK((together.session->on_ready(net::now(), true) == net::Pollable::PollResult::closed));
+    CHECK(together.drain_event_count() == 0);
+
+    PausedClient later;
+    later.client->send(request);
+    wait_for_bytes(later.descriptor);
+    CHECK((later.session->on_ready(net::now(), true) == net::Pollable::PollResult::wait_readable));
+    CHECK(later.drain_event_count() == 1);
+    later.client->send(second);
+    wait_for_bytes(later.descriptor);
+    CHECK((later.session->on_ready(net::now(), true) == net::Pollable::PollResult::closed));
+    CHECK(later.drain_event_count() == 0);
+  }
+}
+
+TEST_CASE_FIXTURE(PausedClient, "a number may be used again once its call is answered or cancelled" *
+                                    doctest::timeout(kTestTimeoutS)) {
+  const std::string request = encode_request(1, "0123456789abcde1", "select 1");
+  for (int i = 0; i < 3; ++i) {
+    client->send(request);
+    wait_for_bytes(descriptor);
+    CHECK((session->on_ready(net::now(), true) == net::Pollable::PollResult::wait_readable));
+    CHECK(drain_event_count() == 1);
+    session->release_message_credit();
+    session->send_failure(1, "test");
+  }
+  client->send(request + encode_cancel(1) + request);
+  wait_for_bytes(descriptor);
+  CHECK((session->on_ready(net::now(), true) == net::Pollable::PollResult::wait_readable));
+  CHECK(drain_event_count() == 1);
+}
+
 TEST_CASE("beyond its rate a client's requests are refused until nothing is unread") {
   net::IntakeLimiter limiter;
   const Time start{1000s};
