An estimate next to zero no longer closes its class

Cause: an estimate under 1 ns was taken as a work of 0, and observe_reported_work() divides by it: the factor of the class becomes infinite.

Fix: such an estimate counts as none, and both sides of the ratio have a lower bound of 1 us.

--- a/src/net/client_call.cpp
+++ b/src/net/client_call.cpp
@@ -89,7 +89,8 @@
   if (const auto* work = find_field(call, "ms")) {
     const auto work_ms = parse_real(*work);
     if (!work_ms || *work_ms < 0 || *work_ms > kMaxWorkMs) return bad("bad field ms");
-    if (*work_ms > 0) out.work = Duration(static_cast<Duration::rep>(*work_ms * kNanosecondsPerMs));
+    const Duration estimate(static_cast<Duration::rep>(*work_ms * kNanosecondsPerMs));
+    if (estimate > Duration{}) out.work = estimate;
   }
   if (const auto* memory = find_field(call, "mb")) {
     const auto memory_mb = parse_real(*memory);
--- a/src/policy/workload_statistics.cpp
+++ b/src/policy/workload_statistics.cpp
@@ -19,6 +19,7 @@
 constexpr int kVotesPerMatch = 2;
 constexpr int kMaxTimeLeftVotes = 40;
 constexpr double kMinWorkSeconds = 1e-3;
+constexpr double kMinComparedWorkSeconds = 1e-6;  // far below the work of any query
 constexpr double kMinOverQuotaRatio = 0.01;
 
 }  // namespace
@@ -90,10 +91,14 @@
 
 // Averages logarithms, because work estimates are noisy and an attempt with a bad plan takes many times its
 // estimate.
+//
+// Failure: a client's estimate is zero or next to it. Symptom: the factor becomes infinite, and every later
+// query of the class is rejected. Guard: both sides of the ratio have a lower bound.
 void WorkloadStatistics::observe_reported_work(std::size_t class_index, Duration estimated,
                                                Duration reported) {
   ClassState& state = classes_[class_index];
-  const double ratio = to_seconds(reported) / (to_seconds(estimated) * state.work_factor);
+  const double expected_s = std::max(kMinComparedWorkSeconds, to_seconds(estimated) * state.work_factor);
+  const double ratio = std::max(kMinComparedWorkSeconds, to_seconds(reported)) / expected_s;
   ++state.cost_reports;
   state.work_factor *=
       std::pow(ratio, std::max(kMinCostReportWeight, 1 / (state.cost_reports + kPriorCostReports)));
--- a/tests/unit/policy/latency_estimator_test.cpp
+++ b/tests/unit/policy/latency_estimator_test.cpp
@@ -36,6 +36,23 @@
             1u);  // the failures after 4 s did not change the estimate
 }
 
+// Guards against a class that rejects everything after one query whose estimate is zero (REPORT-2.md,
+// docs/incidents/estimate-of-zero.md).
+TEST(LatencyEstimator, ServesAClassAfterAnEstimateOfZero) {
+  auto settings = make_settings({make_class(2s, 20s)});
+  settings.reports_cost = true;
+  for (const Duration estimate : {Duration{}, Duration{1}}) {
+    ManagerHarness manager(settings, {make_engine("a")});
+    const auto end_attempt = [&](QueryId query) {
+      ASSERT_EQ(manager.attempt_count(query), 1u);
+      manager.advance(100ms);
+      manager.feed(AttemptEnded{query, AttemptNumber{0}, {"a"}, Outcome::served, 100ms, true, {}, 100ms, 64});
+    };
+    end_attempt(manager.arrive(1, 20s, estimate));
+    for (std::uint64_t id = 2; id <= 40; ++id) end_attempt(manager.arrive(id, 20s, 100ms));
+  }
+}
+
 TEST(LatencyEstimator, CorrectsWorkEstimatesByReportedWork) {
   auto settings = make_settings({make_class(2s, 20s)});
   settings.classes[0].latency_objective_stretch = 2;
