A connection to a slow discovery waits for its turn, others beside it

Cause: the watcher had one connection at a time and hung up after 2.2, 4.4 and then 5 s without a byte; each new call stood at the end of the line.

Fix: a connection that waits for its first byte is kept while others are opened beside it after the same waits, four at most; the first that delivers is kept (ReconnectSchedule, FeedConnection). One thread polls them and alone touches their sockets. The log names why a connection ended.

Tests: net_feed_test.cpp.

--- a/src/discovery/discovery_watcher.cpp
+++ b/src/discovery/discovery_watcher.cpp
@@ -1,40 +1,35 @@
 #include "discovery/discovery_watcher.h"
 
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
 #include <algorithm>
-#include <array>
+#include <cerrno>
 #include <charconv>
+#include <system_error>
 #include <utility>
 
 namespace yokestream::discovery {
 namespace {
 
-using net::Duration;
 using net::Time;
-using std::chrono::milliseconds;
-
-constexpr std::size_t kReadBytes = 8 * 1024;
-constexpr const char* kEventsPath = "/v1/events";
-// The manager is expected to know an event 7 s after it appears on the feed. The feed sends a comment every
-// second, so a connection that stays silent is closed well before that limit. A new connection may wait in a
-// queue of the feed. Its first byte is awaited longer on each attempt, because a reconnect would go to the
-// end of that queue.
-constexpr Duration kSilenceTimeout = milliseconds(2200);
-constexpr Duration kMaxFirstByteTimeout = milliseconds(5000);
-constexpr Duration kConnectTimeout = milliseconds(1000);
-// Mean delay between two connections. It is jittered by half in either direction, so that managers that lost
-// the feed at the same time do not reconnect together.
-constexpr Duration kBackoff = milliseconds(100);
+
+// The oldest one is given up for one more. With the waits of ReconnectSchedule a feed that needs up to 16 s
+// for its first byte is heard.
+constexpr std::size_t kMaxConnections = 4;
 
 }  // namespace
 
 DiscoveryWatcher::DiscoveryWatcher(const std::optional<config::Endpoint>& feed, std::uint64_t last_event,
                                    std::uint64_t seed, net::DispatcherQueue& events, dispatch::Log& log)
     : last_event_(last_event),
-      random_state_(seed),
-      first_byte_timeout_(kSilenceTimeout),
+      schedule_(seed),
       events_(events),
       log_(log),
+      wake_event_(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)),
       feed_(feed) {
+  if (!wake_event_) throw std::system_error(errno, std::generic_category(), "cannot watch the control feed");
   thread_ = net::Thread("feed", net::kLargeStackBytes, [this] { run(); });
 }
 
@@ -42,64 +37,73 @@
   {
     const std::lock_guard lock(mutex_);
     stopping_ = true;
-    if (socket_) socket_->abort();
-    changed_.notify_all();
   }
+  net::raise_event(wake_event_);
   thread_.join();
 }
 
 void DiscoveryWatcher::watch(const std::optional<config::Endpoint>& feed) {
-  const std::lock_guard lock(mutex_);
-  if (feed == feed_) return;
-  feed_ = feed;
-  if (socket_) socket_->abort();
-  changed_.notify_all();
+  {
+    const std::lock_guard lock(mutex_);
+    feed_ = feed;
+  }
+  net::raise_event(wake_event_);
+}
+
+void DiscoveryWatcher::run() {
+  while (take_address()) {
+    const Time now = net::now();
+    if (watched_feed_ && now >= schedule_.due()) open_connection(now);
+    remove_ended(now);
+    wait_for_connections();
+    remove_spare();
+  }
 }
 
-Duration DiscoveryWatcher::next_backoff() {
-  random_state_ = random_state_ * 6364136223846793005ull + 1442695040888963407ull;
-  return kBackoff / 2 + kBackoff * static_cast<int>(random_state_ >> 33 & 1023) / 1024;
+bool DiscoveryWatcher::take_address() {
+  std::uint64_t count = 0;
+  [[maybe_unused]] const auto read = ::read(wake_event_.get(), &count, sizeof count);
+  const std::lock_guard lock(mutex_);
+  if (feed_ != watched_feed_) {
+    watched_feed_ = feed_;
+    connections_.clear();
+    schedule_.restart();
+  }
+  return !stopping_;
 }
 
-// Returns early if the watcher is destroyed or the address changes.
-void DiscoveryWatcher::back_off(const config::Endpoint& feed) {
-  const Time until = net::now() + next_backoff();
-  std::unique_lock lock(mutex_);
-  changed_.wait_until(lock, net::to_steady(until), [&] { return stopping_ || feed_ != feed; });
+void DiscoveryWatcher::open_connection(Time now) {
+  if (connections_.size() == kMaxConnections) connections_.erase(connections_.begin());
+  connections_.push_back(std::make_unique<FeedConnection>(*watched_feed_, last_event_, now));
+  schedule_.on_opened(now);
 }
 
-void DiscoveryWatcher::run() {
-  while (true) {
-    config::Endpoint feed;
-    net::Socket* socket = nullptr;
-    {
-      std::unique_lock lock(mutex_);
-      changed_.wait(lock, [&] { return stopping_ || feed_; });
-      if (stopping_) return;
-      feed = *feed_;
-      socket_ = std::make_unique<net::Socket>();
-      socket = socket_.get();
-    }
-    try {
-      const auto end = watch_once(feed, *socket);
-      first_byte_timeout_ = end == ConnectionEnd::no_bytes_received
-                                ? std::min(2 * first_byte_timeout_, kMaxFirstByteTimeout)
-                                : kSilenceTimeout;
-    } catch (const std::exception& error) {
-      log_.write(std::string("control feed disconnected: cause=\"") + error.what() + "\"");
-    }
-    back_off(feed);
+// Waits until a connection is ready or due, another one is to be opened, or the watcher is woken.
+void DiscoveryWatcher::wait_for_connections() {
+  std::vector<pollfd> polled{{wake_event_.get(), POLLIN, 0}};
+  Time due = watched_feed_ ? schedule_.due() : Time::max();
+  for (const auto& connection : connections_) {
+    polled.push_back({connection->descriptor(), connection->awaited_events(), 0});
+    due = std::min(due, connection->due());
+  }
+  if (::poll(polled.data(), polled.size(), net::milliseconds_until(due)) <= 0) return;
+  for (std::size_t i = 0; i < connections_.size(); ++i) {
+    if (polled[i + 1].revents != 0) read_from(*connections_[i]);
   }
 }
 
-bool DiscoveryWatcher::subscribe(const config::Endpoint& feed, net::Socket& socket) {
-  net::ConnectFailure failure;
-  if (!socket.connect(feed, net::now() + kConnectTimeout, &failure)) {
-    log_.write("control feed connection failed: cause=\"" + failure.cause + "\"");
-    return false;
+void DiscoveryWatcher::read_from(FeedConnection& connection) try {
+  const bool was_receiving = connection.is_receiving();
+  connection.on_ready(net::now());
+  if (!was_receiving && connection.is_receiving()) schedule_.on_first_byte();
+  while (const auto event = connection.next_event()) {
+    const auto result = post_if_new(*event, !connection.has_posted());
+    if (result == EventResult::gap) return connection.end("an event is missing");
+    if (result == EventResult::posted) connection.set_posted();
   }
-  const std::string subscription = protocol::encode_subscription(to_string(feed), kEventsPath, last_event_);
-  return socket.write(subscription) == net::Socket::WriteResult::all;
+  if (connection.has_received_end()) connection.end("the feed ended the response");
+} catch (const std::exception& error) {
+  connection.end(error.what());
 }
 
 // Failure: an event is missing on a connection. Symptom: the engine list stays wrong until a restart.
@@ -120,28 +124,29 @@
   return EventResult::posted;
 }
 
-DiscoveryWatcher::ConnectionEnd DiscoveryWatcher::watch_once(const config::Endpoint& feed,
-                                                             net::Socket& socket) {
-  if (!subscribe(feed, socket)) return ConnectionEnd::other;
-  protocol::SseReader reader;
-  std::array<char, kReadBytes> bytes;
-  bool received_byte = false;
-  bool gap_allowed = true;  // only before the connection's first new event
-  while (true) {
-    const Duration timeout = received_byte ? kSilenceTimeout : first_byte_timeout_;
-    const std::size_t size = socket.read_until(bytes.data(), bytes.size(), net::now() + timeout);
-    if (size == 0) break;
-    received_byte = true;
-    reader.feed({bytes.data(), size});
-    while (const auto event = reader.next()) {
-      const auto result = post_if_new(*event, gap_allowed);
-      if (result == EventResult::gap) return ConnectionEnd::other;
-      if (result == EventResult::posted) gap_allowed = false;
+// Keeps only the connection that delivers, if there is one.
+void DiscoveryWatcher::remove_spare() {
+  const auto delivering = std::find_if(connections_.begin(), connections_.end(),
+                                       [](const auto& connection) { return connection->is_receiving(); });
+  if (delivering == connections_.end() || connections_.size() == 1) return;
+  auto kept = std::move(*delivering);
+  connections_.clear();
+  connections_.push_back(std::move(kept));
+}
+
+void DiscoveryWatcher::remove_ended(Time now) {
+  for (auto it = connections_.begin(); it != connections_.end();) {
+    FeedConnection& connection = **it;
+    if (now >= connection.due()) connection.end("silent");
+    if (!connection.has_ended()) {
+      ++it;
+      continue;
     }
-    if (reader.ended()) break;
+    log_.write("control feed connection ended: cause=\"" + connection.end_cause() +
+               "\" resume_after_event=" + std::to_string(last_event_));
+    schedule_.on_ended(now, connection.was_established());
+    it = connections_.erase(it);
   }
-  log_.write("control feed connection ended or silent: resume_after_event=" + std::to_string(last_event_));
-  return received_byte ? ConnectionEnd::other : ConnectionEnd::no_bytes_received;
 }
 
 }  // namespace yokestream::discovery
--- a/src/discovery/discovery_watcher.h
+++ b/src/discovery/discovery_watcher.h
@@ -1,15 +1,19 @@
 // Watches the control feed for changes of the engine list. Reconnects when a connection ends, and switches
 // to another address when the configuration changes it. A single thread connects, reads and posts, so events
 // reach the dispatcher in the order of their numbers and never twice, however quickly the address changes.
-// Memory: one incomplete event, whose size the reader bounds. Uses one descriptor.
+// While no connection has delivered a byte yet, several wait beside each other (reconnect_schedule.h); the
+// first that delivers one is kept. Memory: one incomplete event, whose size the reader bounds. Uses at most
+// five descriptors.
 #pragma once
 
-#include <condition_variable>
 #include <cstdint>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <vector>
 
+#include "discovery/feed_connection.h"
+#include "discovery/reconnect_schedule.h"
 #include "net/events.h"
 #include "net/thread.h"
 #include "protocol/sse.h"
@@ -31,30 +35,30 @@
   void watch(const std::optional<config::Endpoint>& feed);
 
  private:
-  enum class ConnectionEnd { no_bytes_received, other };
   enum class EventResult { known_already, posted, gap };
 
   void run();
-  ConnectionEnd watch_once(const config::Endpoint& feed, net::Socket& socket);
-  bool subscribe(const config::Endpoint& feed, net::Socket& socket);
+  bool take_address();  // false: the watcher is being destroyed
+  void open_connection(net::Time now);
+  void wait_for_connections();
+  void read_from(FeedConnection& connection);
   EventResult post_if_new(const protocol::SseEvent& event, bool gap_allowed);
-  void back_off(const config::Endpoint& feed);
-  net::Duration next_backoff();
+  void remove_spare();
+  void remove_ended(net::Time now);
 
   // Used by thread_ only.
   std::uint64_t last_event_;
-  std::uint64_t random_state_;
-  net::Duration first_byte_timeout_;
+  ReconnectSchedule schedule_;
+  std::optional<config::Endpoint> watched_feed_;
+  std::vector<std::unique_ptr<FeedConnection>> connections_;  // the oldest first
   net::DispatcherQueue& events_;
   dispatch::Log& log_;
 
-  std::mutex mutex_;  // guards the next three members
+  const net::Fd wake_event_;  // signals a change of feed_ or stopping_
+  std::mutex mutex_;          // guards the next two members
   std::optional<config::Endpoint> feed_;
   bool stopping_ = false;
-  std::unique_ptr<net::Socket>
-      socket_;                       // replaced by thread_ for each connection; other threads only abort it
-  std::condition_variable changed_;  // signals a change of feed_ or stopping_
-  net::Thread thread_;               // declared last: it uses the other members
+  net::Thread thread_;  // declared last: it uses the other members
 };
 
 }  // namespace yokestream::discovery
--- a/tests/node/net_feed_test.cpp
+++ b/tests/node/net_feed_test.cpp
@@ -115,6 +115,48 @@
   CHECK(engine_side.read_until("mine"));
 }
 
+// Guards against a feed that is never heard: it serves its callers in turn, and the watcher hung up before
+// its turn and lost its place (review/8, docs/incidents/slow-discovery.md).
+TEST_CASE_FIXTURE(WatcherFixture,
+                  "a connection that waits for its first byte is kept while others are opened beside it" *
+                      doctest::timeout(30)) {
+  discovery::DiscoveryWatcher watcher(first.endpoint, 1, 7, event_queue, log);
+  TestPeer oldest = first.accept();
+  REQUIRE(oldest.read_until("Last-Event-ID: 1\r\n"));
+  TestPeer second_caller = first.accept(), third_caller = first.accept();
+  oldest.send(kHttpOk + encode_feed_event(2, "e2", first.endpoint));
+  const auto events = event_queue.drain_until(net::now() + 5s);
+  REQUIRE(events.size() == 1);
+  CHECK(number_of(events[0]) == 2);
+  CHECK_FALSE(second_caller.read_until("anything", net::now() + 5s));  // closed: the oldest one delivers
+  CHECK_FALSE(third_caller.read_until("anything", net::now() + 5s));
+  oldest.send(encode_feed_event(3, "e3", first.endpoint));
+  CHECK(event_queue.drain_until(net::now() + 5s).size() == 1);
+  event_queue.close();
+}
+
+TEST_CASE("while the feed is silent connections are opened after growing waits") {
+  discovery::ReconnectSchedule schedule(7);
+  Time now{1000s};
+  CHECK((schedule.due() <= now));
+  for (const Duration wait : {2200ms, 4400ms, 5000ms, 5000ms}) {
+    schedule.on_opened(now);
+    CHECK((schedule.due() == now + wait));
+    now = schedule.due();
+  }
+  schedule.on_opened(now);
+  schedule.on_ended(now, true);  // for example closed by a crowded feed
+  CHECK((schedule.due() <= now + 150ms));
+  CHECK((schedule.due() >= now + 50ms));
+  schedule.on_opened(now);
+  CHECK((schedule.due() == now + 5s));
+  schedule.on_first_byte();
+  CHECK((schedule.due() == Time::max()));
+  schedule.on_ended(now, true);
+  schedule.on_opened(now);
+  CHECK((schedule.due() == now + 2200ms));
+}
+
 // ---- two servers with different configurations in one process
 
 TEST_CASE(
