A flooding client's unread requests no longer keep its connection open

Cause: a connection is closed for room only if nothing of its client is unread, and these always have more on the way.

Fix: after 64 refusals by its session and no result a client is flooding; what it has unread does not count.

--- a/src/net/client_decoding.cpp
+++ b/src/net/client_decoding.cpp
@@ -10,6 +10,9 @@
 // What a decoded message holds besides its bytes: its record and those of its fields.
 constexpr std::size_t kMessageOverheadBytes = 1024;
 
+// So many refusals without a result make a client a flooding one. As many requests were accepted before.
+constexpr int kFloodRefusals = 64;
+
 // Ends the connection without a response to any of its calls.
 class ReusedCallError : public std::runtime_error {
  public:
@@ -81,8 +84,9 @@
 }
 
 void ClientSession::refuse(dispatch::CallId call) {
-  if (!std::exchange(refusal_logged_, true))
+  if (++refused_count_ == 1)
     log_.write("client requests refused: cause=\"sent faster than a client without a result may\"");
+  if (refused_count_ >= kFloodRefusals && results_sent_ == 0) is_flooding_ = true;
   refusals_ += protocol::encode_error(call, "Shed", {});
 }
 
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -58,12 +58,16 @@
 
 // Failure: a connection is closed as idle while it holds an unread request or an unwritten response. Symptom:
 // the request gets no response. Guard: both are checked, and nothing is read between check and abort.
+//
+// Failure: clients that repeat each refused request at once always have unread ones. Symptom: none of them is
+// ever closed, and no other client can connect. Guard: what a flooding client has unread does not count.
 bool ClientSession::abort_if_idle() {
   // The checks follow a message's path: socket, decoder, event queue. Only this thread adds responses.
-  if (!sender_.is_idle() ||
-      !socket_.abort_if_nothing_unread([this] { return !has_unposted_bytes_ && !credits_.in_use(); }))
+  if (!is_flooding_ && (!sender_.is_idle() || !socket_.abort_if_nothing_unread([this] {
+        return !has_unposted_bytes_ && !credits_.in_use();
+      })))
     return false;
-  abort("idle");
+  abort(is_flooding_ ? "too many requests without a result" : "idle");
   return true;
 }
 
@@ -93,6 +97,7 @@
 void ClientSession::send_result(dispatch::CallId call, dispatch::Result result) {
   ++results_sent_;
   memory_.on_served();
+  is_flooding_ = false;
   open_calls_.remove(call);
   protocol::Fields fields;
   if (const auto it = attached_quotes_.find(call); it != attached_quotes_.end()) {
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -65,7 +65,8 @@
   void release_message_credit() { credits_.release(); }
   // Stops reading and writing at once. `cause` is a string literal; it is logged if responses were unwritten.
   void abort(const char* cause);
-  // Returns false, and does nothing, if a message is unprocessed or a response unwritten.
+  // Returns false, and does nothing, if a message is unprocessed or a response unwritten, unless the client
+  // floods.
   bool abort_if_idle();
   // Shuts down the write side once all queued responses are written.
   void close_after_writes() { sender_.close_after_writes(); }
@@ -139,6 +140,7 @@
   MessageCredits credits_;  // one for each message posted and not yet handled
   OpenCalls open_calls_;
   std::atomic<int> results_sent_{0};
+  std::atomic<bool> is_flooding_{false};         // many requests were refused, and none has had a result
   std::atomic<bool> has_unposted_bytes_{false};  // bytes read whose messages are not posted yet
   std::atomic<bool> reading_stopped_{false};     // for good; responses are still written after that
   // Reading thread only: the client poller, or its reader thread.
@@ -151,7 +153,7 @@
   dispatch::Reservation reader_reservation_;  // one of reader_pool_.reader_slots
   IntakeLimiter intake_limiter_;
   std::string refusals_;  // encoded and not sent yet
-  bool refusal_logged_ = false;
+  int refused_count_ = 0;
   bool memory_wait_logged_ = false;
   MessageTimeout message_timeout_;
   Time next_due_ = Time::max();
--- a/tests/node/net_order_test.cpp
+++ b/tests/node/net_order_test.cpp
@@ -190,6 +190,33 @@
   CHECK(drain_event_count() == 1);
 }
 
+// Guards against clients that repeat each refused request at once: they were never closed, and no other
+// client could connect (review/6, docs/incidents/flooded-connections.md).
+TEST_CASE_FIXTURE(PausedClient,
+                  "a client with many refusals and no result is closed although more is unread" *
+                      doctest::timeout(kTestTimeoutS)) {
+  const auto send_requests = [&](int from, int to) {
+    std::string bytes;
+    for (int number = from; number <= to; ++number)
+      bytes += encode_request(number, std::to_string(1000000000000000 + number), "x");
+    client->send(bytes);
+    wait_for_unread(descriptor, bytes.size());
+  };
+  const Time time = net::now();  // stands still, so that the rate permits nothing more
+  send_requests(1, 120);
+  BriefDispatcher dispatcher;
+  for (int i = 0; i < 10; ++i) {
+    session->on_ready(time, true);
+    dispatcher.handle_events(*this);
+  }
+  send_requests(100, 100);
+  CHECK_FALSE(session->abort_if_idle());  // after 56 refusals it may be a client that retries
+  send_requests(101, 110);
+  session->on_ready(time, true);
+  send_requests(111, 111);
+  CHECK(session->abort_if_idle());
+}
+
 TEST_CASE("beyond its rate a client's requests are refused until nothing is unread") {
   net::IntakeLimiter limiter;
   const Time start{1000s};
