An id that may have run is not sent again in a class that must not repeat

Clients sent 200 loads and left; the same ids came again on other connections.

Cause: an id was refused only while a request with it was open.

Fix: the ids of requests that may have run, in classes that are not idempotent, are known for 60 s after their end, 16,384 at most.

Test: repeated_id_test.cpp; without the check at admission its first case is red in 3 of 3 runs.

--- a/src/dispatch/attempt_tracker.cpp
+++ b/src/dispatch/attempt_tracker.cpp
@@ -62,12 +62,18 @@
   }
   request.stage_outcome.executed |=
       outcome != Outcome::never_sent && outcome != Outcome::unreachable && outcome != Outcome::shed;
+  if (request.stage_outcome.executed && !may_run_twice(request)) deps_.requests.remember_executed(request);
   if (outcome == Outcome::served) request.stage_outcome.latency = now - request.submitted_at;
   if (ended.work) request.stage_outcome.measured_work_s = std::chrono::duration<double>(*ended.work).count();
   deps_.policy_events.push(std::move(ended));
   deps_.requests.forget_if_done(query);
 }
 
+bool AttemptTracker::may_run_twice(const Request& request) const {
+  const auto class_index = static_cast<std::size_t>(request.received.query_class);
+  return deps_.config.settings.classes[class_index].idempotency == policy::Idempotency::idempotent;
+}
+
 // Returns true if nothing of the attempt was written, and nothing will be.
 bool AttemptTracker::withdraw(const Attempt& attempt) {
   return attempt.phase == AttemptPhase::connecting || deps_.engines.withdraw(attempt.connection, attempt.tag);
--- a/src/dispatch/attempt_tracker.h
+++ b/src/dispatch/attempt_tracker.h
@@ -83,6 +83,7 @@
   bool send_on_connection(policy::QueryId query, Request& request, const EngineRecord& engine);
   bool schedule_reconnect(policy::QueryId query, Attempt& attempt);
   bool withdraw(const Attempt& attempt);
+  bool may_run_twice(const Request& request) const;
   bool is_excluded_by_route(const Request& request, const std::string& engine_uid) const;
 
   Dependencies deps_;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -223,6 +223,7 @@
   service_.update();
   responder_.close_finished_stalled();
   directory_.forget_gone(clock_.now());
+  requests_.forget_old_executed();
   routes_.retain_engines([this](const std::string& uid) { return directory_.has(uid); });
   stages_.log_metrics_if_due(clock_.now());
   publish_engine_counts();
--- a/src/dispatch/request_admission.cpp
+++ b/src/dispatch/request_admission.cpp
@@ -69,6 +69,10 @@
     deps_.responder.fail(request, "bad field req: in use");
     return true;
   }
+  if (deps_.requests.was_executed(request.request_id)) {
+    deps_.responder.fail(request, "bad field req: executed before");
+    return true;
+  }
   const std::size_t max_open = deps_.config.real.open_cap;
   const bool full = max_open > 0 && deps_.requests.open_call_count() >= max_open;
   if (!deps_.service.accepts_requests(now) || full || !deps_.sessions.may_open_request(request.session)) {
--- a/src/dispatch/request_table.h
+++ b/src/dispatch/request_table.h
@@ -14,6 +14,7 @@
 
 #include "dispatch/admission_stages.h"
 #include "dispatch/dispatch_clock.h"
+#include "dispatch/executed_request_ids.h"
 #include "dispatch/request.h"
 
 namespace yokestream::dispatch {
@@ -38,6 +39,15 @@
   std::size_t open_call_count() const { return open_calls_.size(); }
   bool uses_request_id(const std::string& id) const { return request_ids_in_use_.count(id) > 0; }
 
+  // Requests that must not run twice and may have run: their ids are refused for some time after their end.
+  void remember_executed(const Request& request) {
+    executed_request_ids_.add(clock_.now(), request.received.request_id);
+  }
+  bool was_executed(const std::string& id) const { return executed_request_ids_.contains(id); }
+  void forget_old_executed() {
+    executed_request_ids_.forget_until(clock_.now() - ExecutedRequestIds::kRetention);
+  }
+
   // Marks the request as answered: its client is owed no answer any more.
   void close_call(Request& request);
   // Removes a request that is answered and has no attempt, and reports its end to the admission stages.
@@ -57,6 +67,7 @@
   Requests requests_;
   std::map<CallKey, policy::QueryId> open_calls_;
   std::set<std::string> request_ids_in_use_;
+  ExecutedRequestIds executed_request_ids_;
   std::uint64_t last_query_id_ = 0;
 };
 
