--- a/src/net/client_reader_thread.cpp
+++ b/src/net/client_reader_thread.cpp
@@ -38,16 +38,21 @@
   return false;
 }
 
+// Waits for credits. False: the connection is closed or aborted; on_closed() reports it.
+bool ClientSession::post_all_waiting() {
+  while (!messages_.is_empty()) {
+    if (!credits_.acquire() || socket_.peer_has_closed()) return false;
+    post_next();
+  }
+  return true;
+}
+
 // The client poller handles an incomplete or malformed message, and the limits of a client without memory or
 // with too many refused messages.
 bool ClientSession::run_reader() {
   while (true) {
     const auto decoded = decode_pending(now());
-    while (!messages_.is_empty()) {
-      if (!credits_.acquire()) return false;  // aborted; on_closed() reports it
-      if (socket_.peer_has_closed()) return false;
-      post_next();
-    }
+    if (!post_all_waiting()) return false;
     if (protocol_error_) return true;
     if (decoded == ReadOutcome::rate_limited) return true;
     if (decoded) continue;
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -127,6 +127,7 @@
   // Starts the reader thread of a busy client. False: the client is not busy or no thread is available, and
   // the client poller continues to read it.
   bool start_reader();
+  bool post_all_waiting();
   bool run_reader();  // true: the client returns to the client poller; false: the connection is closed
 
   const dispatch::SessionId id_;
