--- a/measure/client_faults/trial.py
+++ b/measure/client_faults/trial.py
@@ -135,48 +135,16 @@
     await crowd(pool, until, b"".join(call(i, fields=many) for i in range(1, 400)) + call(1)[:30])
 
 
-def full_speed(data_of):
-    """One client that sends for as long as the connection takes it, and reads what it is sent."""
+def full_speed(served, kind):
+    """One client in a process of its own, so that it is not held up by the other parties (flooder.py)."""
     async def trouble(pool, until):
-        turn = 0
-        while time.time() < until:
-            try:
-                reader, writer = await asyncio.open_connection(HOST, pool.manager.port)
-                drain = asyncio.ensure_future(read_all(reader))
-                while time.time() < until and not drain.done():
-                    writer.write(data_of(turn))
-                    turn += 1
-                    await asyncio.wait([asyncio.ensure_future(writer.drain()), drain],
-                                       return_when=asyncio.FIRST_COMPLETED, timeout=0.5)
-                writer.close()
-            except (ConnectionError, OSError):
-                pass
-            await asyncio.sleep(0)
+        flooder = os.path.join(os.path.dirname(os.path.abspath(__file__)), "flooder.py")
+        process = await asyncio.create_subprocess_exec(sys.executable, flooder, str(pool.manager.port), str(until), served,
+                                                       kind)
+        await process.wait()
     return trouble
 
 
-async def read_all(reader):
-    try:
-        while await reader.read(1 << 16):
-            pass
-    except (ConnectionError, OSError):
-        pass
-
-
-def unknown_names(turn):
-    return b"".join(call(1 + (turn * 200 + i) % (1 << 30), "class%d" % (turn * 200 + i),
-                         fields={"req": os.urandom(8).hex(), "owner": "name%d" % (turn * 200 + i)}) for i in range(200))
-
-
-def cancellations(turn):
-    return b"".join(pack([2, "giveUp", [i]]) for i in range(turn * 400, turn * 400 + 400))
-
-
-def taken_back(turn):
-    numbers = range(turn * 100 + 1, turn * 100 + 101)
-    return b"".join(call(i) + pack([2, "giveUp", [i]]) for i in numbers)
-
-
 async def closes_with_unread(pool, until):
     """Clients that send hundreds of loads and close at once; some come again with the same ids."""
     while time.time() < until:
@@ -215,9 +183,14 @@
     "a-slow-writers": slow_writers,
     "a-half-of-large": half_of_large,
     "a-short-fields": short_fields,
-    "b-unknown-names": full_speed(unknown_names),
-    "b-cancellations": full_speed(cancellations),
-    "b-taken-back": full_speed(taken_back),
+    "b-new-unsound": full_speed("new", "unsound"),
+    "b-new-sound": full_speed("new", "sound"),
+    "b-new-cancel": full_speed("new", "cancel"),
+    "b-new-taken": full_speed("new", "taken"),
+    "b-served-unsound": full_speed("served", "unsound"),
+    "b-served-sound": full_speed("served", "sound"),
+    "b-served-cancel": full_speed("served", "cancel"),
+    "b-served-taken": full_speed("served", "taken"),
     "c-closes-with-unread": closes_with_unread,
     "d-address-reused": address_reused,
 }
