A client that leaves while it waits for memory is noticed

A client whose next bytes find no memory is not read, so the end of its connection is not read either.

Cause: read_and_post() backs off without a look at the connection.

Fix: it looks whether the client has closed before it backs off.

--- a/src/net/client_reading.cpp
+++ b/src/net/client_reading.cpp
@@ -134,6 +134,7 @@
   }
   track_incomplete_message(now);
   if (outcome == ReadOutcome::no_memory) {
+    if (socket_.peer_has_closed()) return PollResult::closed;
     message_timeout_.restart(now);
     if (!std::exchange(memory_wait_logged_, true))
       log_.write("client not read: cause=\"no memory for its input\" unread_message_bytes=" +
--- a/tests/node/net_memory_test.cpp
+++ b/tests/node/net_memory_test.cpp
@@ -124,6 +124,20 @@
   CHECK(drain_event_count() == 1);
 }
 
+// Guards against requests that go on for a client that has left: the end of its connection was not read
+// either.
+TEST_CASE_FIXTURE(PausedClient,
+                  "a client that leaves while it waits for memory is noticed" * doctest::timeout(30)) {
+  dispatch::Reservation rest;
+  REQUIRE(fixture.budget.try_reserve(rest, kBudgetBytes));
+  client->send(encode_long_request(1, "0123456789abcdef", std::string(40'000, 'x')));
+  wait_for_bytes(descriptor);
+  CHECK((session->on_ready(net::now(), true) == net::Pollable::PollResult::wait_until_due));
+  client.reset();
+  wait_for_end(descriptor);
+  CHECK((session->on_ready(net::now(), false) == net::Pollable::PollResult::closed));
+}
+
 // Guards against a standstill: each of many clients holds a part of a large request, and none gets the memory
 // for the rest.
 TEST_CASE("large requests that exceed the budget together are all read, one after the other" *
