Client connections: closes, refusals and rejections are logged and counted

Added and kept: lines of a client's connection hold its number and what is pending on it (open calls, unread bytes, unposted, unhandled, unwritten, results, refused); a close by this process over pending requests has a line and a counter; rejections are counted by cause; what the session refuses counts under its class. Text lines begin with the UTC time.

The line 'client connection closed: open_requests=N cause=...' stays as it is (a test compares it whole). The fixture parts that it shares with net_order_test.cpp moved to net_session_fixture.h unchanged.

--- a/src/cli/log.cpp
+++ b/src/cli/log.cpp
@@ -29,7 +29,7 @@
     logger_->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l","part":"%n","note":%v})",
                          spdlog::pattern_time_type::utc);
   else
-    logger_->set_pattern("%n: %v");
+    logger_->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %n: %v", spdlog::pattern_time_type::utc);
   json_ = settings.format == "json";
 }
 
--- a/src/dispatch/client_responder.cpp
+++ b/src/dispatch/client_responder.cpp
@@ -11,13 +11,15 @@
 // The connection of a flooding client is closed only if nothing of it is pending: data in its reader, events
 // in the dispatcher's queue and unwritten answers are handled first. Otherwise it is closed after a later
 // answer.
-void ClientResponder::reject(const RequestReceived& request, Duration retry_after) {
+void ClientResponder::reject(const RequestReceived& request, Duration retry_after,
+                             metrics::RejectionCause cause) {
   const policy::Settings& settings = deps_.config.settings;
   const Duration advised_delay =
       settings.may_send_retry_after ? std::min(retry_after, settings.max_retry_after) : Duration{};
   deps_.clients.send_rejection(request.session, request.call, advised_delay);
   deps_.metrics.count_request(static_cast<std::size_t>(request.query_class),
                               metrics::RequestOutcome::rejected);
+  deps_.metrics.count_rejection(cause);
   if (deps_.sessions.on_response_sent(deps_.clock.now(), request.session)) close_if_idle(request.session);
 }
 
@@ -62,10 +64,10 @@
   fail(request.received, cause);
 }
 
-void ClientResponder::reject_unsubmitted(QueryId query, Duration retry_after) {
+void ClientResponder::reject_unsubmitted(QueryId query, Duration retry_after, metrics::RejectionCause cause) {
   Request& request = deps_.requests.at(query);
   close_call(request);
-  reject(request.received, retry_after);
+  reject(request.received, retry_after, cause);
   deps_.requests.forget_if_done(query);
 }
 
@@ -75,7 +77,7 @@
   request->stage_outcome.rejected_by_policy = true;
   deps_.routes.record_outcome(deps_.clock.now(), *request, false);
   close_call(*request);
-  reject(request->received, rejection.retry_after);
+  reject(request->received, rejection.retry_after, metrics::RejectionCause::policy);
   deps_.requests.forget_if_done(rejection.query);
 }
 
--- a/src/dispatch/client_responder.h
+++ b/src/dispatch/client_responder.h
@@ -32,7 +32,7 @@
   explicit ClientResponder(const Dependencies& dependencies) : deps_(dependencies) {}
 
   // These do not close a call: the request is not in the RequestTable, or the calling code closes its call.
-  void reject(const RequestReceived& request, Duration retry_after);
+  void reject(const RequestReceived& request, Duration retry_after, metrics::RejectionCause cause);
   void fail(const RequestReceived& request, std::string_view cause);
   void fail(const BadRequest& bad);
   void send_readiness(const ProbeReceived& probe, bool ready);
@@ -47,7 +47,7 @@
   void fail_open(Request& request, std::string_view cause);
   // Rejects a request that was never submitted to the decision module, so no engine can have run it.
   // This call and the ones below invalidate references to the request.
-  void reject_unsubmitted(policy::QueryId query, Duration retry_after);
+  void reject_unsubmitted(policy::QueryId query, Duration retry_after, metrics::RejectionCause cause);
   void handle(const policy::Reject& rejection);
   void handle(const policy::Fail& failure);
   // Closes the call without a response. The decision module cancels an attempt that is still in flight.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -68,8 +68,8 @@
       routes_(config),
       stages_(config, now, log),
       requests_(clock_, timers_, stages_),
-      metrics_(config.real.classes),
-      responder_({config, clock_, clients, sessions_, requests_, routes_, policy_events_, metrics_}),
+      metrics_(std::make_shared<metrics::Metrics>(config.real.classes)),
+      responder_({config, clock_, clients, sessions_, requests_, routes_, policy_events_, *metrics_}),
       service_({config, clock_, sessions_, requests_, timers_, responder_}),
       admission_({config, clock_, budget, clients, log, service_.lifecycle(), sessions_, stages_, routes_,
                   requests_, timers_, responder_, policy_events_}),
@@ -130,7 +130,7 @@
   std::visit([this](auto& received) { on(std::move(received)); }, event);
   run_controller();
   advance_stages();
-  metrics_.set_in_flight(requests_.open_call_count());
+  metrics_->set_in_flight(requests_.open_call_count());
 }
 
 void Dispatcher::tick(Time now) {
@@ -140,7 +140,7 @@
     run_controller();
     advance_stages();
   }
-  metrics_.set_in_flight(requests_.open_call_count());
+  metrics_->set_in_flight(requests_.open_call_count());
 }
 
 void Dispatcher::run_controller() {
@@ -178,6 +178,7 @@
   if (!open_queries.empty())
     log_.write("client connection closed: open_requests=" + std::to_string(open_queries.size()) +
                " cause=\"" + closed.cause + "\"");
+  if (closed.requests_pending) metrics_->count_close_with_pending_requests();
   sessions_.remove(closed.session);
 }
 
@@ -244,7 +245,7 @@
 }
 
 void Dispatcher::publish_engine_counts() {
-  metrics_.set_engines(directory_.listed_count(), controller_.unavailable_engines());
+  metrics_->set_engines(directory_.listed_count(), controller_.unavailable_engines());
 }
 
 }  // namespace yokestream::dispatch
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -75,7 +75,8 @@
 
   std::size_t open_requests() const { return requests_.open_call_count(); }
   const ServiceLifecycle& lifecycle() const { return service_.lifecycle(); }
-  metrics::Metrics& metrics() { return metrics_; }  // any thread may read them during the dispatcher's life
+  metrics::Metrics& metrics() { return *metrics_; }  // any thread may read them during the dispatcher's life
+  std::shared_ptr<metrics::Metrics> shared_metrics() { return metrics_; }  // for what outlives the dispatcher
   // Returns true if the shutdown is finished: no request is open and no more can arrive. Clients keep sending
   // requests on open connections, so all connections must be closed first, each when it has no open request.
   bool shutdown_complete(Time now) const {
@@ -143,7 +144,7 @@
   RouteGuard routes_;
   AdmissionStages stages_;
   RequestTable requests_;
-  metrics::Metrics metrics_;
+  const std::shared_ptr<metrics::Metrics> metrics_;
   ClientResponder responder_;
   ServiceController service_;
   RequestAdmission admission_;
--- a/src/dispatch/ports.h
+++ b/src/dispatch/ports.h
@@ -67,6 +67,7 @@
 struct SessionClosed {
   SessionId session{};
   const char* cause = "closed by its client";  // a string literal
+  bool requests_pending = false;               // this process closed it over requests without a response
 };
 struct SessionStalled {  // to be closed once its open requests are answered: its client sent a message that
                          // is malformed, or that does not get complete
--- a/src/dispatch/request_admission.cpp
+++ b/src/dispatch/request_admission.cpp
@@ -6,6 +6,7 @@
 namespace yokestream::dispatch {
 namespace {
 
+using metrics::RejectionCause;
 using policy::QueryId;
 using std::chrono::milliseconds;
 
@@ -31,7 +32,7 @@
   if (answer_immediately(request)) return;
   Reservation memory;
   if (!deps_.budget.try_reserve(memory, request.statement.size() + kRequestOverheadBytes))
-    return deps_.responder.reject(request, kOverloadedRetryAfter);
+    return deps_.responder.reject(request, kOverloadedRetryAfter, RejectionCause::memory);
   apply_deadline_margin(request);
   const QueryId query = deps_.requests.next_query_id();
   throttle::Admission throttle_verdict;
@@ -73,10 +74,8 @@
     deps_.responder.fail(request, "bad field req: executed before");
     return true;
   }
-  const std::size_t max_open = deps_.config.real.open_cap;
-  const bool full = max_open > 0 && deps_.requests.open_call_count() >= max_open;
-  if (!deps_.service.accepts_requests(now) || full || !deps_.sessions.may_open_request(request.session)) {
-    deps_.responder.reject(request, kOverloadedRetryAfter);
+  if (const auto cause = reached_limit(request)) {
+    deps_.responder.reject(request, kOverloadedRetryAfter, *cause);
     return true;
   }
   if (request.deadline <= now) {
@@ -86,6 +85,15 @@
   return false;
 }
 
+// Returns the limit that keeps the request from being opened, if any.
+std::optional<RejectionCause> RequestAdmission::reached_limit(const RequestReceived& request) const {
+  if (!deps_.service.accepts_requests(deps_.clock.now())) return RejectionCause::not_serving;
+  const std::size_t max_open = deps_.config.real.open_cap;
+  if (max_open > 0 && deps_.requests.open_call_count() >= max_open) return RejectionCause::open_requests;
+  if (!deps_.sessions.may_open_request(request.session)) return RejectionCause::client_limit;
+  return std::nullopt;
+}
+
 void RequestAdmission::apply_deadline_margin(RequestReceived& request) const {
   const Duration time_left = request.deadline - deps_.clock.now();
   request.deadline -= std::min(kDeadlineMargin, time_left / kDeadlineMarginDivisor);
@@ -97,7 +105,7 @@
   *throttle_verdict = deps_.stages.offer_to_throttle(deps_.clock.now(), query, request,
                                                      deps_.sessions.origin(request.session));
   if (throttle_verdict->decision != throttle::Decision::reject) return false;
-  deps_.responder.reject(request, throttle_verdict->retry_after);
+  deps_.responder.reject(request, throttle_verdict->retry_after, RejectionCause::throttle);
   return true;
 }
 
@@ -107,7 +115,7 @@
   const scheduler::Verdict verdict =
       deps_.stages.offer_to_scheduler(deps_.clock.now(), query, request, cost_s);
   if (verdict.decision == scheduler::Decision::reject)
-    return deps_.responder.reject_unsubmitted(query, verdict.retry_after);
+    return deps_.responder.reject_unsubmitted(query, verdict.retry_after, RejectionCause::scheduler);
   deps_.responder.attach_quote(request, verdict.wait_estimate);
   if (verdict.decision == scheduler::Decision::admit) submit_to_policy(query, verdict.cost);
 }
@@ -120,7 +128,8 @@
   Request& request = deps_.requests.at(query);
   const RequestReceived& received = request.received;
   const routing::Route route = deps_.routes.route_of(now, received);
-  if (route.closed) return deps_.responder.reject_unsubmitted(query, kOverloadedRetryAfter);
+  if (route.closed)
+    return deps_.responder.reject_unsubmitted(query, kOverloadedRetryAfter, RejectionCause::route_closed);
   request.eligible_engines = RouteGuard::eligible_engines(route);
   request.submitted_at = now;
   policy::QueryArrived arrived;
@@ -151,7 +160,7 @@
   if (moved->admission.decision == throttle::Decision::admit)
     on_throttle_passed(moved->query, moved->admission.cost);
   else
-    deps_.responder.reject_unsubmitted(moved->query, moved->admission.retry_after);
+    deps_.responder.reject_unsubmitted(moved->query, moved->admission.retry_after, RejectionCause::throttle);
   return true;
 }
 
@@ -161,7 +170,7 @@
   if (moved->verdict.decision == scheduler::Decision::admit)
     submit_to_policy(moved->query, moved->verdict.cost);
   else
-    deps_.responder.reject_unsubmitted(moved->query, moved->verdict.retry_after);
+    deps_.responder.reject_unsubmitted(moved->query, moved->verdict.retry_after, RejectionCause::scheduler);
   return true;
 }
 
--- a/src/dispatch/request_admission.h
+++ b/src/dispatch/request_admission.h
@@ -46,6 +46,7 @@
 
  private:
   bool answer_immediately(const RequestReceived& request);
+  std::optional<metrics::RejectionCause> reached_limit(const RequestReceived& request) const;
   // Offers the request to the throttle. Returns true if the throttle has rejected the request, which is then
   // answered. `throttle_verdict`: set to what the throttle decided, in any case.
   bool reject_by_throttle(policy::QueryId query, const RequestReceived& request,
--- a/src/dispatch/service_controller.cpp
+++ b/src/dispatch/service_controller.cpp
@@ -38,7 +38,7 @@
     const auto& query_class =
         deps_.config.settings.classes[static_cast<std::size_t>(request.received.query_class)];
     if (request.attempt_count == 0 || query_class.idempotency == policy::Idempotency::idempotent)
-      deps_.responder.reject(request.received, Duration{});
+      deps_.responder.reject(request.received, Duration{}, metrics::RejectionCause::shutdown_deadline);
     else
       deps_.responder.fail(request.received, "Leaving");
     deps_.responder.abandon(*query);
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -13,7 +13,11 @@
 constexpr const char* kPrefix = "edge_relay.";
 constexpr const char* kClassLabel = "class";
 constexpr const char* kOutcomeLabel = "end";
+constexpr const char* kCauseLabel = "cause";
 constexpr std::array<const char*, 3> kOutcomeNames = {"served", "refused", "failed"};  // by RequestOutcome
+constexpr std::array<const char*, 10> kRejectionCauses = {
+    "not_serving", "open_requests", "client_limit", "client_rate", "memory",
+    "throttle",    "scheduler",     "route_closed", "policy",      "shutdown_deadline"};  // by RejectionCause
 
 std::string label_value(const prometheus::ClientMetric& metric, const std::string& name) {
   for (const auto& pair : metric.label) {
@@ -22,6 +26,15 @@
   return {};
 }
 
+// The name of a family, followed by the values of its labels.
+std::string full_name(const std::string& family, const prometheus::ClientMetric& metric) {
+  std::string name = family;
+  for (const char* label : {kClassLabel, kOutcomeLabel, kCauseLabel}) {
+    if (const auto value = label_value(metric, label); !value.empty()) name += '.' + value;
+  }
+  return name;
+}
+
 std::string format_line(const std::string& name, double value, char type) {
   return kPrefix + name + ':' + std::to_string(std::llround(value)) + '|' + type + '\n';
 }
@@ -31,7 +44,8 @@
 struct Metrics::Impl {
   prometheus::Registry registry;
   std::vector<std::array<prometheus::Counter*, kOutcomeNames.size()>> requests;  // by class and outcome
-  prometheus::Counter* attempts = nullptr;
+  std::array<prometheus::Counter*, kRejectionCauses.size()> rejections{};
+  prometheus::Counter *attempts = nullptr, *closes_with_pending_requests = nullptr;
   prometheus::Gauge *in_flight = nullptr, *known_engines = nullptr, *excluded_engines = nullptr;
 };
 
@@ -44,6 +58,11 @@
       counters[outcome] = &requests.Add({{kClassLabel, name}, {kOutcomeLabel, kOutcomeNames[outcome]}});
   }
   impl_->attempts = &prometheus::BuildCounter().Name("attempts").Register(registry).Add({});
+  impl_->closes_with_pending_requests =
+      &prometheus::BuildCounter().Name("client_closes_with_pending_requests").Register(registry).Add({});
+  auto& rejections = prometheus::BuildCounter().Name("rejections").Register(registry);
+  for (std::size_t cause = 0; cause < kRejectionCauses.size(); ++cause)
+    impl_->rejections[cause] = &rejections.Add({{kCauseLabel, kRejectionCauses[cause]}});
   const auto add_gauge = [&](const char* name) {
     return &prometheus::BuildGauge().Name(name).Register(registry).Add({});
   };
@@ -58,6 +77,12 @@
   impl_->requests.at(query_class)[static_cast<std::size_t>(outcome)]->Increment();
 }
 
+void Metrics::count_rejection(RejectionCause cause) {
+  impl_->rejections.at(static_cast<std::size_t>(cause))->Increment();
+}
+
+void Metrics::count_close_with_pending_requests() { impl_->closes_with_pending_requests->Increment(); }
+
 void Metrics::count_attempt() { impl_->attempts->Increment(); }
 
 void Metrics::set_in_flight(std::size_t requests) { impl_->in_flight->Set(static_cast<double>(requests)); }
@@ -71,10 +96,7 @@
   std::string out;
   for (const auto& family : impl_->registry.Collect()) {
     for (const auto& metric : family.metric) {
-      const auto class_name = label_value(metric, kClassLabel);
-      const auto name = class_name.empty()
-                            ? family.name
-                            : family.name + '.' + class_name + '.' + label_value(metric, kOutcomeLabel);
+      const auto name = full_name(family.name, metric);
       const bool is_counter = family.type == prometheus::MetricType::Counter;
       out +=
           format_line(name, is_counter ? metric.counter.value : metric.gauge.value, is_counter ? 'c' : 'g');
--- a/src/net/client_call.cpp
+++ b/src/net/client_call.cpp
@@ -107,6 +107,10 @@
 
 }  // namespace
 
+std::optional<policy::ClassId> find_class(const protocol::Call& call, const config::RealSettings& settings) {
+  return index_of<policy::ClassId>(settings.classes, call.method);
+}
+
 dispatch::Event to_event(dispatch::SessionId session, protocol::ClientMessage message, Time arrived,
                          const config::RealSettings& settings) {
   if (auto* call = std::get_if<protocol::Call>(&message)) {
--- a/src/net/client_decoding.cpp
+++ b/src/net/client_decoding.cpp
@@ -2,6 +2,7 @@
 // reads the session.
 #include <stdexcept>
 
+#include "net/client_call.h"
 #include "net/client_session.h"
 
 namespace yokestream::net {
@@ -68,7 +69,7 @@
   }
   const std::uint64_t call = *protocol::call_id(entry.message);
   if (open_calls_.contains(call)) throw ReusedCallError("call id of an open request reused");
-  if (!intake_limiter_.accept(now, results_sent_ > 0)) return refuse(call);
+  if (!intake_limiter_.accept(now, results_sent_ > 0)) return refuse(call, entry.message);
   open_calls_.add(call);
   messages_.push(std::move(entry));
 }
@@ -83,13 +84,26 @@
   if (!is_open) intake_limiter_.on_ignored(now, results_sent_ > 0);
 }
 
-void ClientSession::refuse(dispatch::CallId call) {
+void ClientSession::refuse(dispatch::CallId call, const protocol::ClientMessage& message) {
   if (++refused_count_ == 1)
-    log_.write("client requests refused: cause=\"sent faster than a client without a result may\"");
-  if (refused_count_ >= kFloodRefusals && results_sent_ == 0) is_flooding_ = true;
+    log_.write("client requests refused: cause=\"sent faster than a client without a result may\" " +
+               describe_pending());
+  if (refused_count_ >= kFloodRefusals && results_sent_ == 0 && !is_flooding_.exchange(true))
+    log_.write("client connection is flooding: " + describe_pending());
+  count_refusal(message);
   refusals_ += protocol::encode_error(call, "Shed", {});
 }
 
+void ClientSession::count_refusal(const protocol::ClientMessage& message) {
+  if (!reader_pool_.metrics) return;
+  reader_pool_.metrics->count_rejection(metrics::RejectionCause::client_rate);
+  const auto* call = std::get_if<protocol::Call>(&message);
+  const auto query_class = call ? find_class(*call, settings_) : std::nullopt;
+  if (query_class)
+    reader_pool_.metrics->count_request(static_cast<std::size_t>(*query_class),
+                                        metrics::RequestOutcome::rejected);
+}
+
 void ClientSession::send_refusals() {
   if (!refusals_.empty()) enqueue_bytes(std::exchange(refusals_, {}));
 }
--- a/src/net/client_reading.cpp
+++ b/src/net/client_reading.cpp
@@ -146,7 +146,7 @@
   next_due_ = message_timeout_.due();
   return PollResult::wait_readable;
 } catch (const std::exception& error) {
-  log_.write(std::string("client connection closed: cause=\"") + error.what() + "\"");
+  log_.write(std::string("client connection closed: cause=\"") + error.what() + "\" " + describe_pending());
   close_cause_ = "invalid message from the client";
   return PollResult::closed;
 }
@@ -156,8 +156,8 @@
 // client is read until the dispatcher closes the connection, which it does only if nothing is unread.
 Pollable::PollResult ClientSession::stall(Time now, const char* cause) {
   if (!std::exchange(stalled_, true)) {
-    log_.write(std::string("client message timed out: cause=\"") + cause +
-               "\" since_assumed_arrival_ms=" + milliseconds_text(now - arrival_clock_.arrived_at()));
+    log_.write(std::string("client message timed out: cause=\"") + cause + "\" since_assumed_arrival_ms=" +
+               milliseconds_text(now - arrival_clock_.arrived_at()) + " " + describe_pending());
     close_cause_ = "incomplete message from the client";
     event_queue_.post(dispatch::Event(dispatch::SessionStalled{id_}));
   }
@@ -170,7 +170,7 @@
 // Symptom: it loses the responses to those requests. Guard: the client is not read any more, and the
 // dispatcher closes the connection once all its requests have been answered.
 Pollable::PollResult ClientSession::end_reading(Time now, const std::string& cause) {
-  log_.write("client reading stopped: cause=\"" + cause + "\"");
+  log_.write("client reading stopped: cause=\"" + cause + "\" " + describe_pending());
   close_cause_ = "invalid message from the client";
   event_queue_.post(dispatch::Event(dispatch::SessionStalled{id_}));
   stop_reading();
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -46,11 +46,32 @@
 
 ClientSession::~ClientSession() { abort("session destroyed"); }
 
-// Failure: an abort drops an unwritten response. Symptom: the client never receives it, and no log line tells
-// why. Guard: the first abort logs its cause.
+std::string ClientSession::describe_pending() {
+  return "session=" + std::to_string(static_cast<std::uint64_t>(id_)) +
+         " open_calls=" + std::to_string(open_calls_.size()) +
+         " unread_bytes=" + std::to_string(socket_.unread_bytes()) +
+         " unposted=" + std::to_string(has_unposted_bytes_) +
+         " unhandled=" + std::to_string(credits_.in_use()) +
+         " unwritten=" + std::to_string(!sender_.is_idle()) + " results=" + std::to_string(results_sent_) +
+         " refused=" + std::to_string(refused_count_);
+}
+
+bool ClientSession::has_pending_requests() {
+  return open_calls_.size() > 0 || socket_.has_unread_bytes() || has_unposted_bytes_ || credits_.in_use();
+}
+
+// Failure: an abort drops an unwritten response or a request. Symptom: the client never receives a response,
+// and no log line tells why. Guard: the first abort logs its cause.
+void ClientSession::log_close(const char* cause) {
+  const std::string detail = std::string(": cause=\"") + cause + "\" " + describe_pending();
+  if (!sender_.is_idle()) log_.write("client connection aborted with unwritten responses" + detail);
+  if (socket_.peer_has_closed() || !has_pending_requests()) return;
+  closed_with_pending_requests_ = true;
+  log_.write("client connection closed with pending requests" + detail);
+}
+
 void ClientSession::abort(const char* cause) {
-  if (!socket_.aborted_locally() && !sender_.is_idle())
-    log_.write(std::string("client connection aborted with unwritten responses: cause=\"") + cause + "\"");
+  if (!socket_.aborted_locally()) log_close(cause);
   sender_.close();
   credits_.close();
   socket_.abort();
@@ -142,7 +163,7 @@
 void ClientSession::on_closed() {
   const char* cause = socket_.aborted_locally() ? "aborted locally" : close_cause_;
   abort(cause);
-  event_queue_.post(dispatch::Event(dispatch::SessionClosed{id_, cause}));
+  event_queue_.post(dispatch::Event(dispatch::SessionClosed{id_, cause, closed_with_pending_requests_}));
 }
 
 }  // namespace yokestream::net
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -16,6 +16,7 @@
 #include <string_view>
 
 #include "config/settings.h"
+#include "metrics/metrics.h"
 #include "net/arrival_clock.h"
 #include "net/client_memory.h"
 #include "net/events.h"
@@ -33,9 +34,10 @@
 
 // What all client sessions share for their I/O.
 struct ReaderPool {
-  dispatch::Budget reader_slots;  // bounds the reader threads of busy clients
-  Poller& client_poller;          // reads all other clients
-  Poller& slow_writer_poller;     // writes to clients that are slow to read
+  dispatch::Budget reader_slots;                // bounds the reader threads of busy clients
+  Poller& client_poller;                        // reads all other clients
+  Poller& slow_writer_poller;                   // writes to clients that are slow to read
+  std::shared_ptr<metrics::Metrics> metrics{};  // null: nothing is counted
 };
 
 class ClientSession : public Pollable, public std::enable_shared_from_this<ClientSession> {
@@ -90,6 +92,10 @@
   static constexpr int kBusyClientMinResults = 2;
   static constexpr const char* kClosedByClient = "closed by the client";
 
+  // What the client has sent and is not handled, or is owed, as `key=value` words for the log.
+  std::string describe_pending();
+  bool has_pending_requests();
+  void log_close(const char* cause);
   void enqueue(Item item, std::size_t counted_bytes);
   void enqueue_bytes(std::string bytes);
   // Why reading or decoding stops. queue_full: the queued messages are to be posted first; rate_limited:
@@ -110,7 +116,8 @@
   void release_spare_input();
   void take_message(Time now, MessageQueue::Entry entry);
   void take_cancellation(Time now, dispatch::CallId call, MessageQueue::Entry entry);
-  void refuse(dispatch::CallId call);
+  void refuse(dispatch::CallId call, const protocol::ClientMessage& message);
+  void count_refusal(const protocol::ClientMessage& message);
   void send_refusals();
   void fail_queued_requests(std::string_view reason);
   void track_incomplete_message(Time now);  // starts or ends its timeout
@@ -144,6 +151,8 @@
   std::atomic<bool> is_flooding_{false};         // many requests were refused, and none has had a result
   std::atomic<bool> has_unposted_bytes_{false};  // bytes read whose messages are not posted yet
   std::atomic<bool> reading_stopped_{false};     // for good; responses are still written after that
+  std::atomic<bool> closed_with_pending_requests_{false};
+  std::atomic<int> refused_count_{0};
   // Reading thread only: the client poller, or its reader thread.
   protocol::MsgpackReader reader_;
   MessageQueue messages_;
@@ -154,7 +163,6 @@
   dispatch::Reservation reader_reservation_;  // one of reader_pool_.reader_slots
   IntakeLimiter intake_limiter_;
   std::string refusals_;  // encoded and not sent yet
-  int refused_count_ = 0;
   bool memory_wait_logged_ = false;
   MessageTimeout message_timeout_;
   Time next_due_ = Time::max();
--- a/src/net/open_calls.h
+++ b/src/net/open_calls.h
@@ -20,6 +20,10 @@
     const std::lock_guard lock(mutex_);
     numbers_.insert(number);
   }
+  std::size_t size() {
+    const std::lock_guard lock(mutex_);
+    return numbers_.size();
+  }
   // The call is answered or cancelled. False: it was not open.
   bool remove(std::uint64_t number) {
     const std::lock_guard lock(mutex_);
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -31,6 +31,7 @@
                   upgrade::load_predecessor_state(config, log)) {
   discovery_ = std::make_unique<discovery::DiscoveryWatcher>(config.feed, config.known_number, config.seed,
                                                              events_, log);
+  reader_pool_.metrics = dispatcher_.shared_metrics();  // before there is a session
   listener_ = std::make_unique<Listener>(config, accept_gate_, session_slots_, client_memory_budget_, events_,
                                          reader_pool_, log);
   if (upgrade::is_enabled(config))
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -186,9 +186,10 @@
   return WriteResult::all;
 }
 
-bool Socket::has_unread_bytes() const {
+std::size_t Socket::unread_bytes() const {
   int bytes = 0;
-  return fd_ && ::ioctl(fd_.get(), FIONREAD, &bytes) == 0 && bytes > 0;
+  if (!fd_ || ::ioctl(fd_.get(), FIONREAD, &bytes) != 0) return 0;
+  return static_cast<std::size_t>(std::max(bytes, 0));
 }
 
 bool Socket::peer_has_closed() const {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -92,7 +92,8 @@
     return true;
   }
 
-  bool has_unread_bytes() const;
+  std::size_t unread_bytes() const;
+  bool has_unread_bytes() const { return unread_bytes() > 0; }
 
  private:
   void abort_locked();
--- a/tests/node/net_order_test.cpp
+++ b/tests/node/net_order_test.cpp
@@ -1,27 +1,12 @@
 // The order in which a client's bytes, its cancellations and what ends its connection take effect. The client
 // is read only when the test says so.
 #include <doctest/doctest.h>
-#include <sys/ioctl.h>
-
-#include <set>
 
 #include "net_session_fixture.h"
 
 namespace yokestream::test {
 namespace {
 
-constexpr double kTestTimeoutS = 30;
-
-// Waits until `size` bytes are unread.
-void wait_for_unread(int descriptor, std::size_t size) {
-  const Time deadline = net::now() + 10s;
-  int unread = 0;
-  while (static_cast<std::size_t>(unread) < size) {
-    REQUIRE(net::now() < deadline);
-    REQUIRE(::ioctl(descriptor, FIONREAD, &unread) == 0);
-  }
-}
-
 // A request whose statement is told to be `missing` bytes shorter than it is.
 std::string encode_too_short_request(int number, const std::string& id, const std::string& statement,
                                      int missing) {
@@ -74,29 +59,6 @@
   CHECK(std::holds_alternative<dispatch::SessionStalled>(std::get<dispatch::Event>(events[1])));
 }
 
-// Plays a dispatcher that lets a client have a few open requests, as with one that has no result yet.
-struct BriefDispatcher {
-  static constexpr std::size_t kMaxOpen = 8;
-  void handle_events(PausedClient& paused) {
-    auto events = paused.fixture.event_queue.drain_until(net::now());
-    for (; !events.empty(); events.pop_front()) {
-      const auto& event = std::get<dispatch::Event>(events.front());
-      if (const auto* request = std::get_if<dispatch::RequestReceived>(&event)) {
-        ++received;
-        if (open.size() < kMaxOpen)
-          open.insert(request->call);
-        else
-          paused.session->send_rejection(request->call, {});
-      }
-      if (const auto* cancelled = std::get_if<dispatch::RequestCancelled>(&event))
-        open.erase(cancelled->call);
-      paused.session->release_message_credit();
-    }
-  }
-  std::set<dispatch::CallId> open;
-  int received = 0;
-};
-
 // Guards against running what was taken back long ago: cancellations waited behind requests that were only
 // read when the client's rate permitted it (review/9, docs/incidents/late-cancellation.md).
 TEST_CASE_FIXTURE(PausedClient, "hundreds of requests that are cancelled at once are all over within 100 ms" *
--- a/tests/node/net_session_fixture.h
+++ b/tests/node/net_session_fixture.h
@@ -2,12 +2,17 @@
 #pragma once
 
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <set>
+
 #include "net_test_peers.h"
 
 namespace yokestream::test {
 
+constexpr double kTestTimeoutS = 30;
+
 // Holds what a client session needs in place of a server: its event queue, its pollers and its reader pool.
 struct SessionFixture {
   explicit SessionFixture(std::size_t max_readers)
@@ -39,6 +44,16 @@
   REQUIRE(::recv(descriptor, &first, 1, MSG_PEEK) == 1);
 }
 
+// Waits until `size` bytes are unread.
+inline void wait_for_unread(int descriptor, std::size_t size) {
+  const Time deadline = net::now() + 10s;
+  int unread = 0;
+  while (static_cast<std::size_t>(unread) < size) {
+    REQUIRE(net::now() < deadline);
+    REQUIRE(::ioctl(descriptor, FIONREAD, &unread) == 0);
+  }
+}
+
 // Waits until the peer has closed the connection, without reading from it.
 inline void wait_for_end(int descriptor) {
   pollfd peer{descriptor, POLLRDHUP, 0};
@@ -57,4 +72,27 @@
   std::size_t drain_event_count() { return fixture.event_queue.drain_until(net::now()).size(); }
 };
 
+// Plays a dispatcher that lets a client have a few open requests, as with one that has no result yet.
+struct BriefDispatcher {
+  static constexpr std::size_t kMaxOpen = 8;
+  void handle_events(PausedClient& paused) {
+    auto events = paused.fixture.event_queue.drain_until(net::now());
+    for (; !events.empty(); events.pop_front()) {
+      const auto& event = std::get<dispatch::Event>(events.front());
+      if (const auto* request = std::get_if<dispatch::RequestReceived>(&event)) {
+        ++received;
+        if (open.size() < kMaxOpen)
+          open.insert(request->call);
+        else
+          paused.session->send_rejection(request->call, {});
+      }
+      if (const auto* cancelled = std::get_if<dispatch::RequestCancelled>(&event))
+        open.erase(cancelled->call);
+      paused.session->release_message_credit();
+    }
+  }
+  std::set<dispatch::CallId> open;
+  int received = 0;
+};
+
 }  // namespace yokestream::test
