A flooding client's connection is closed only when nothing on it is pending

Cause: since ClientSession::abort_if_idle() skipped every check (unread, unposted, unhandled, unwritten) for a client with 64 refusals and no result. It took such a client for one that breaks the protocol; a usual client that repeats what is refused at once gets there, too, with never more than 32 requests open.

Evidence: the log line of the reproduction, open_calls=0 unread_bytes=1035 at a close for "too many requests without a result".

Fix: the dispatcher only asks for the close. The thread that reads the client refuses what comes, and closes right after a read has found nothing, when no call is open: the held-back refusals and the end of the stream reach the client together, so that only requests that cross the close are left. A call counts as open until its response is queued (OpenCalls::answer). The immediate abort is left for a client that has more than the protocol's 32 requests open at once (its test is unchanged).

--- a/src/net/client_decoding.cpp
+++ b/src/net/client_decoding.cpp
@@ -14,6 +14,12 @@
 // So many refusals without a result make a client a flooding one. As many requests were accepted before.
 constexpr int kFloodRefusals = 64;
 
+// The most requests that the protocol allows on one connection.
+constexpr std::size_t kMaxOpenCalls = 32;
+
+// Messages of a client that is not answered: kMaxOpenCalls requests, their cancellations, and both once more.
+constexpr int kMaxClosingMessages = 4 * static_cast<int>(kMaxOpenCalls);
+
 // Ends the connection without a response to any of its calls.
 class ReusedCallError : public std::runtime_error {
  public:
@@ -30,14 +36,14 @@
 std::optional<ClientSession::ReadOutcome> ClientSession::decode_pending(Time now) {
   const auto outcome = decode_messages(now);
   if (protocol_error_) fail_queued_requests("the connection's next message is malformed");
-  send_refusals();
+  if (!closing_) send_refusals();
   return outcome;
 }
 
 std::optional<ClientSession::ReadOutcome> ClientSession::decode_messages(Time now) try {
   while (!protocol_error_) {
     if (messages_.is_full()) return ReadOutcome::queue_full;
-    if (!intake_limiter_.may_read(now)) return ReadOutcome::rate_limited;
+    if (!closing_ && !intake_limiter_.may_read(now)) return ReadOutcome::rate_limited;
     auto overhead = memory_.try_charge(kMessageOverheadBytes);
     if (!overhead && !messages_.is_empty()) return ReadOutcome::queue_full;
     const std::size_t bytes_before = reader_.pending();
@@ -46,6 +52,7 @@
     ClientMemory::Charge charge = overhead ? std::move(*overhead) : memory_.charge(kMessageOverheadBytes);
     charge.take_from(input_charge_, bytes_before - reader_.pending());
     message_timeout_.reset();
+    if (closing_ && ++closing_messages_ > kMaxClosingMessages) exceeds_protocol_limits_ = true;
     if (stalled_) resume();
     take_message(now, {std::move(*message), arrival_clock_.arrived_at(), std::move(charge)});
   }
@@ -69,9 +76,19 @@
   }
   const std::uint64_t call = *protocol::call_id(entry.message);
   if (open_calls_.contains(call)) throw ReusedCallError("call id of an open request reused");
-  if (!intake_limiter_.accept(now, results_sent_ > 0)) return refuse(call, entry.message);
-  open_calls_.add(call);
-  messages_.push(std::move(entry));
+  if (accept_request(now)) {
+    open_calls_.add(call);
+    messages_.push(std::move(entry));
+  } else {
+    refuse(call, entry.message);
+  }
+  if (open_calls_.size() + unsent_refusals_.size() > kMaxOpenCalls) exceeds_protocol_limits_ = true;
+}
+
+bool ClientSession::accept_request(Time now) {
+  if (!close_requested_) return intake_limiter_.accept(now, results_sent_ > 0);
+  intake_limiter_.on_refused(now);
+  return false;
 }
 
 // Failure: a cancellation waits behind other messages of its client, or a client sends cancellations at full
@@ -80,6 +97,7 @@
 void ClientSession::take_cancellation(Time now, dispatch::CallId call, MessageQueue::Entry entry) {
   const bool is_queued = messages_.remove_request(call);
   const bool is_open = open_calls_.remove(call);
+  std::erase(unsent_refusals_, call);
   if (is_open && !is_queued) messages_.push_first(std::move(entry));
   if (!is_open) intake_limiter_.on_ignored(now, results_sent_ > 0);
 }
@@ -91,7 +109,7 @@
   if (refused_count_ >= kFloodRefusals && results_sent_ == 0 && !is_flooding_.exchange(true))
     log_.write("client connection is flooding: " + describe_pending());
   count_refusal(message);
-  refusals_ += protocol::encode_error(call, "Shed", {});
+  unsent_refusals_.push_back(call);
 }
 
 void ClientSession::count_refusal(const protocol::ClientMessage& message) {
@@ -105,7 +123,10 @@
 }
 
 void ClientSession::send_refusals() {
-  if (!refusals_.empty()) enqueue_bytes(std::exchange(refusals_, {}));
+  std::string bytes;
+  for (const dispatch::CallId call : std::exchange(unsent_refusals_, {}))
+    bytes += protocol::encode_error(call, "Shed", {});
+  if (!bytes.empty()) enqueue_bytes(std::move(bytes));
 }
 
 // Cancellations stay queued: they take back requests that have been posted already.
--- a/src/net/client_reading.cpp
+++ b/src/net/client_reading.cpp
@@ -123,10 +123,18 @@
   next_due_ = Time::max();
   ReadOutcome outcome = ReadOutcome::queue_full;
   while (outcome == ReadOutcome::queue_full) {
+    update_closing();
     outcome = read_ahead(now);
     release_spare_input();
     if (outcome == ReadOutcome::closed) return PollResult::closed;
+    if (closing_ && exceeds_protocol_limits_) {
+      close_cause_ = kProtocolLimits;
+      return PollResult::closed;
+    }
     if (outcome == ReadOutcome::read_limit) return continue_later(now);
+    if (closing_ && outcome == ReadOutcome::nothing_unread && reader_.pending() == 0)
+      return finish_closing(now);
+    send_refusals();
     const PollResult posted = post_all(now);
     if (posted != PollResult::wait_readable) return posted;
     if (protocol_error_) return end_reading(now, *protocol_error_);
@@ -166,6 +174,25 @@
   return PollResult::wait_until_due;
 }
 
+void ClientSession::update_closing() {
+  const bool closing = close_requested_ && messages_.is_empty() && open_calls_.size() == 0;
+  if (!closing) closing_messages_ = 0;
+  closing_ = closing;
+}
+
+// Failure: a connection is closed by a thread that cannot know what its client has just written. Symptom: a
+// request that was taken gets no response. Guard: the thread that reads the client closes it, right after a
+// read has found nothing and while no call is open; only requests that cross the close are left.
+Pollable::PollResult ClientSession::finish_closing(Time now) {
+  log_.write("client connection closing: cause=\"no request open\" " + describe_pending() +
+             " refused_at_close=" + std::to_string(unsent_refusals_.size()));
+  send_refusals();
+  close_after_writes();
+  close_cause_ = "closed while no request was open";
+  stop_reading();
+  return wait_for_close(now);
+}
+
 // Failure: a client with open requests sends a malformed message, and its connection is closed at once.
 // Symptom: it loses the responses to those requests. Guard: the client is not read any more, and the
 // dispatcher closes the connection once all its requests have been answered.
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -10,6 +10,7 @@
 constexpr std::size_t kMemoryAllowanceBytes = 16 * 1024;
 // What a queued response holds besides its bytes.
 constexpr std::size_t kResponseOverheadBytes = 128;
+constexpr const char* kResponsesUnread = "client does not read its responses";
 // Bounds the messages of one client that are posted and not yet handled by the dispatcher.
 constexpr std::size_t kMaxUnhandledMessages = 16;
 protocol::Fields quote_fields(const scheduler::WaitEstimate& quote) {
@@ -56,18 +57,20 @@
          " refused=" + std::to_string(refused_count_);
 }
 
+// After the write side has been shut down, unread bytes are requests that crossed the close.
 bool ClientSession::has_pending_requests() {
-  return open_calls_.size() > 0 || socket_.has_unread_bytes() || has_unposted_bytes_ || credits_.in_use();
+  if (open_calls_.size() > 0) return true;
+  return !sender_.is_drained() && (socket_.has_unread_bytes() || has_unposted_bytes_ || credits_.in_use());
 }
 
 // Failure: an abort drops an unwritten response or a request. Symptom: the client never receives a response,
 // and no log line tells why. Guard: the first abort logs its cause.
 void ClientSession::log_close(const char* cause) {
-  const std::string detail = std::string(": cause=\"") + cause + "\" " + describe_pending();
-  if (!sender_.is_idle()) log_.write("client connection aborted with unwritten responses" + detail);
+  const std::string details = std::string(": cause=\"") + cause + "\" " + describe_pending();
+  if (!sender_.is_idle()) log_.write("client connection aborted with unwritten responses" + details);
   if (socket_.peer_has_closed() || !has_pending_requests()) return;
   closed_with_pending_requests_ = true;
-  log_.write("client connection closed with pending requests" + detail);
+  log_.write("client connection closed with pending requests" + details);
 }
 
 void ClientSession::abort(const char* cause) {
@@ -81,19 +84,25 @@
 // the request gets no response. Guard: both are checked, and nothing is read between check and abort.
 //
 // Failure: clients that repeat each refused request at once always have unread ones. Symptom: none of them is
-// ever closed, and no other client can connect. Guard: what a flooding client has unread does not count.
+// ever closed, and no other client can connect. Guard: such a client is closed by the thread that reads it
+// (close_when_settled()), at once only if it has more requests open than the protocol allows.
 bool ClientSession::abort_if_idle() {
   // The checks follow a message's path: socket, decoder, event queue. Only this thread adds responses.
-  if (!is_flooding_ && (!sender_.is_idle() || !socket_.abort_if_nothing_unread([this] {
-        return !has_unposted_bytes_ && !credits_.in_use();
-      })))
+  const bool is_idle = sender_.is_idle() && socket_.abort_if_nothing_unread([this] {
+    return !has_unposted_bytes_ && !credits_.in_use();
+  });
+  if (!is_idle && !is_flooding_) return false;
+  if (!is_idle && !exceeds_protocol_limits_) {
+    close_when_settled();
     return false;
-  abort(is_flooding_ ? "too many requests without a result" : "idle");
+  }
+  abort(is_idle ? "idle" : kProtocolLimits);
   return true;
 }
 
 void ClientSession::close_after_writes_if_settled() {
-  if (!has_unposted_bytes_ && !credits_.in_use()) close_after_writes();
+  close_when_settled();
+  if (!socket_.has_unread_bytes() && !has_unposted_bytes_ && !credits_.in_use()) close_after_writes();
 }
 
 // The checks follow a message's path, as in abort_if_idle().
@@ -106,26 +115,39 @@
 
 // Failure: a client does not read its responses. Symptom: they use up the memory. Guard: its connection is
 // aborted when its queue is full.
-void ClientSession::enqueue(Item item, std::size_t counted_bytes) {
-  if (!sender_.add(std::move(item), counted_bytes)) abort("client does not read its responses");
+void ClientSession::respond(dispatch::CallId call, Item item, std::size_t counted_bytes) {
+  bool is_queued = false;
+  open_calls_.answer(call, [&] { is_queued = sender_.add(std::move(item), counted_bytes); });
+  if (!is_queued) abort(kResponsesUnread);
+}
+
+void ClientSession::respond(dispatch::CallId call, std::string bytes) {
+  const std::size_t size = bytes.size();
+  respond(call, item_of(std::move(bytes)), size);
 }
 
 void ClientSession::enqueue_bytes(std::string bytes) {
   const std::size_t size = bytes.size();
-  enqueue(Item{std::move(bytes), {}, memory_.charge(size + kResponseOverheadBytes)}, size);
+  if (!sender_.add(item_of(std::move(bytes)), size)) abort(kResponsesUnread);
+}
+
+ClientSession::Item ClientSession::item_of(std::string bytes) {
+  const std::size_t size = bytes.size();
+  return Item{std::move(bytes), {}, memory_.charge(size + kResponseOverheadBytes)};
 }
 
 void ClientSession::send_result(dispatch::CallId call, dispatch::Result result) {
   ++results_sent_;
   memory_.on_served();
   is_flooding_ = false;
-  open_calls_.remove(call);
+  close_requested_ = false;
   protocol::Fields fields;
   if (const auto it = attached_quotes_.find(call); it != attached_quotes_.end()) {
     fields = quote_fields(it->second);
     attached_quotes_.erase(it);
   }
-  enqueue(Item{protocol::encode_result(call, result.rows, fields), std::move(result.memory_reservation), {}},
+  respond(call,
+          Item{protocol::encode_result(call, result.rows, fields), std::move(result.memory_reservation), {}},
           sizeof(Item));
 }
 
@@ -136,28 +158,24 @@
 }
 
 void ClientSession::send_quote(dispatch::CallId call, const scheduler::WaitEstimate& quote) {
-  open_calls_.remove(call);
-  enqueue_bytes(protocol::encode_result(call, "", quote_fields(quote)));
+  respond(call, protocol::encode_result(call, "", quote_fields(quote)));
 }
 
 void ClientSession::send_rejection(dispatch::CallId call, Duration retry_after) {
-  open_calls_.remove(call);
   attached_quotes_.erase(call);
   protocol::Fields fields;
   const auto ms = std::chrono::ceil<std::chrono::milliseconds>(retry_after).count();
   if (ms > 0) fields.emplace("holdoff", std::to_string(ms));
-  enqueue_bytes(protocol::encode_error(call, "Shed", fields));
+  respond(call, protocol::encode_error(call, "Shed", fields));
 }
 
 void ClientSession::send_failure(dispatch::CallId call, std::string_view cause) {
-  open_calls_.remove(call);
   attached_quotes_.erase(call);
-  enqueue_bytes(protocol::encode_error(call, "Fault", {{"reason", std::string(cause)}}));
+  respond(call, protocol::encode_error(call, "Fault", {{"reason", std::string(cause)}}));
 }
 
 void ClientSession::send_readiness(dispatch::CallId call, bool is_ready) {
-  open_calls_.remove(call);
-  enqueue_bytes(protocol::encode_probe_answer(call, is_ready));
+  respond(call, protocol::encode_probe_answer(call, is_ready));
 }
 
 void ClientSession::on_closed() {
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "config/settings.h"
 #include "metrics/metrics.h"
@@ -67,12 +68,16 @@
   void release_message_credit() { credits_.release(); }
   // Stops reading and writing at once. `cause` is a string literal; it is logged if responses were unwritten.
   void abort(const char* cause);
-  // Returns false, and does nothing, if a message is unprocessed or a response unwritten, unless the client
-  // floods.
+  // Returns false if a message is unprocessed or a response unwritten. A client that floods is closed later
+  // then (close_when_settled()).
   bool abort_if_idle();
+  // Requests that arrive from now on are refused, and the connection is closed as soon as no call is open and
+  // nothing is unread. A result cancels this, as the client does not flood any more.
+  void close_when_settled() { close_requested_ = true; }
   // Shuts down the write side once all queued responses are written.
   void close_after_writes() { sender_.close_after_writes(); }
-  // Does the same, but only if no message of the client is still to be handled by the dispatcher.
+  // Does the same if nothing of the client is unread or still to be handled by the dispatcher, and otherwise
+  // as soon as that is so.
   void close_after_writes_if_settled();
   // Does the same, but only if nothing of the client is unread either, unless it is not read any more. False:
   // the connection stays open.
@@ -91,12 +96,15 @@
   // A client with this many results is busy; one that sends a single request and stays connected is not.
   static constexpr int kBusyClientMinResults = 2;
   static constexpr const char* kClosedByClient = "closed by the client";
+  static constexpr const char* kProtocolLimits = "more requests than the protocol allows";
 
   // What the client has sent and is not handled, or is owed, as `key=value` words for the log.
   std::string describe_pending();
   bool has_pending_requests();
   void log_close(const char* cause);
-  void enqueue(Item item, std::size_t counted_bytes);
+  void respond(dispatch::CallId call, Item item, std::size_t counted_bytes);
+  void respond(dispatch::CallId call, std::string bytes);
+  Item item_of(std::string bytes);
   void enqueue_bytes(std::string bytes);
   // Why reading or decoding stops. queue_full: the queued messages are to be posted first; rate_limited:
   // until intake_limiter_ permits it; read_limit: other clients are to be read first.
@@ -116,6 +124,7 @@
   void release_spare_input();
   void take_message(Time now, MessageQueue::Entry entry);
   void take_cancellation(Time now, dispatch::CallId call, MessageQueue::Entry entry);
+  bool accept_request(Time now);
   void refuse(dispatch::CallId call, const protocol::ClientMessage& message);
   void count_refusal(const protocol::ClientMessage& message);
   void send_refusals();
@@ -129,6 +138,8 @@
   PollResult stall(Time now, const char* cause);
   void resume();
   PollResult end_reading(Time now, const std::string& cause);
+  void update_closing();
+  PollResult finish_closing(Time now);
   void stop_reading();
   PollResult wait_for_close(Time now);
   // Starts the reader thread of a busy client. False: the client is not busy or no thread is available, and
@@ -151,6 +162,9 @@
   std::atomic<bool> is_flooding_{false};         // many requests were refused, and none has had a result
   std::atomic<bool> has_unposted_bytes_{false};  // bytes read whose messages are not posted yet
   std::atomic<bool> reading_stopped_{false};     // for good; responses are still written after that
+  std::atomic<bool> close_requested_{false};     // close_when_settled()
+  // No client that keeps to the protocol sends what this one has sent.
+  std::atomic<bool> exceeds_protocol_limits_{false};
   std::atomic<bool> closed_with_pending_requests_{false};
   std::atomic<int> refused_count_{0};
   // Reading thread only: the client poller, or its reader thread.
@@ -162,7 +176,11 @@
   ClientMemory::Charge input_charge_;         // of the bytes in reader_ and of the next read
   dispatch::Reservation reader_reservation_;  // one of reader_pool_.reader_slots
   IntakeLimiter intake_limiter_;
-  std::string refusals_;  // encoded and not sent yet
+  std::vector<dispatch::CallId> unsent_refusals_;
+  // A close is requested and no call is open: refusals are held back until nothing is unread, so that they
+  // and the end of the connection reach the client together.
+  bool closing_ = false;
+  int closing_messages_ = 0;  // decoded since then
   bool memory_wait_logged_ = false;
   MessageTimeout message_timeout_;
   Time next_due_ = Time::max();
--- a/src/net/intake_limiter.h
+++ b/src/net/intake_limiter.h
@@ -33,6 +33,8 @@
     refusals_.record(now);
     return false;
   }
+  // A request was read and is refused for another reason than the client's rate.
+  void on_refused(Time now) { refusals_.record(now); }
   // A message was read that has no effect.
   void on_ignored(Time now, bool was_served) {
     if (!was_served) refusals_.record(now);
--- a/src/net/open_calls.h
+++ b/src/net/open_calls.h
@@ -24,7 +24,15 @@
     const std::lock_guard lock(mutex_);
     return numbers_.size();
   }
-  // The call is answered or cancelled. False: it was not open.
+  // Runs `respond`, which queues the call's response, and closes the call. Other threads find the call open
+  // until both are done. `respond` must not call back.
+  template <class Respond>
+  void answer(std::uint64_t number, Respond respond) {
+    const std::lock_guard lock(mutex_);
+    respond();
+    numbers_.erase(number);
+  }
+  // The call is cancelled or fails. False: it was not open.
   bool remove(std::uint64_t number) {
     const std::lock_guard lock(mutex_);
     return numbers_.erase(number) > 0;
--- a/tests/node/net_close_test.cpp
+++ b/tests/node/net_close_test.cpp
@@ -37,5 +37,92 @@
   CHECK(std::get<dispatch::SessionClosed>(std::get<dispatch::Event>(events[0])).requests_pending);
 }
 
+// A client that keeps to the protocol and repeats each of its requests as soon as it is refused. All that
+// reaches the dispatcher is rejected. The clock stands still, so that the rate permits nothing more.
+struct RepeatingClient : PausedClient {
+  int requests = 32;  // with those that are open already the most that the protocol allows
+  const Time time = net::now();
+  void send_requests() {
+    std::string bytes;
+    for (int number = 1; number <= requests; ++number)
+      bytes += encode_request(number, std::to_string(1000000000000000 + number), "x");
+    client->send(bytes);
+    wait_for_unread(descriptor, bytes.size());
+  }
+  void run_until_refused() {
+    for (int pass = 0; pass < 2; ++pass) {
+      session->on_ready(time, true);
+      for (auto& event : fixture.event_queue.drain_until(net::now())) {
+        if (const auto* request = std::get_if<dispatch::RequestReceived>(&std::get<dispatch::Event>(event)))
+          session->send_rejection(request->call, {});
+        session->release_message_credit();
+      }
+    }
+    read_refusals();
+  }
+  void read_refusals() {
+    for (int i = 0; i < requests; ++i) CHECK(client->read_until("Shed", net::now() + 10s));
+  }
+  void flood() {
+    for (int round = 0; round < 5; ++round) {
+      send_requests();
+      run_until_refused();
+    }
+    REQUIRE(fixture.log.count("client connection is flooding") == 1);
+  }
+};
+
+// Guards against closing a connection over unread requests because its client floods: they got no response
+// (issue 47, docs/incidents/unanswered-at-close.md).
+TEST_CASE_FIXTURE(RepeatingClient,
+                  "a flooding client gets a response to each request before its connection is closed" *
+                      doctest::timeout(kTestTimeoutS)) {
+  flood();
+  send_requests();
+  CHECK_FALSE(session->abort_if_idle());
+  CHECK((session->on_ready(time, true) == net::Pollable::PollResult::wait_until_due));
+  read_refusals();
+  CHECK_FALSE(client->read_until("anything", net::now() + 10s));
+  CHECK(fixture.log.count("closed with pending requests") == 0);
+  client.reset();
+  wait_for_end(descriptor);
+  CHECK((session->on_ready(net::now(), false) == net::Pollable::PollResult::closed));
+}
+
+// Guards against a close that waits for ever, or that drops an open request: requests are refused until the
+// open call has its response.
+TEST_CASE_FIXTURE(RepeatingClient,
+                  "a flooding client with an open call is closed once the call has its response" *
+                      doctest::timeout(kTestTimeoutS)) {
+  client->send(encode_request(100, "1000000000000100", "x"));
+  wait_for_bytes(descriptor);
+  session->on_ready(time, true);
+  CHECK(drain_event_count() == 1);
+  session->release_message_credit();
+  --requests;
+  flood();
+  send_requests();
+  CHECK_FALSE(session->abort_if_idle());
+  CHECK((session->on_ready(time, true) == net::Pollable::PollResult::wait_readable));
+  read_refusals();
+  session->send_failure(100, "test");
+  CHECK(client->read_until("Fault", net::now() + 10s));
+  send_requests();
+  CHECK((session->on_ready(time, true) == net::Pollable::PollResult::wait_until_due));
+  read_refusals();
+  CHECK_FALSE(client->read_until("anything", net::now() + 10s));
+}
+
+// A client that is served does not flood: a close that was requested before does not come.
+TEST_CASE_FIXTURE(RepeatingClient,
+                  "a result cancels the close of a flooding client" * doctest::timeout(kTestTimeoutS)) {
+  flood();
+  send_requests();
+  CHECK_FALSE(session->abort_if_idle());
+  session->send_result(99, {"row", {}});
+  CHECK((session->on_ready(time, true) != net::Pollable::PollResult::closed));
+  CHECK(drain_event_count() > 0);
+}
+
 }  // namespace
 }  // namespace yokestream::test
