A request that crosses an idle close no longer resets the connection

Cause: close_if_idle() (was abort_if_idle()) shut down both directions. A request that crossed the close then made the kernel reset the connection, and a client may lose with it what it has not read yet.

Renamed in the tests with the function: abort_if_idle, abort_if_nothing_unread.

--- a/src/net/client_port_adapter.cpp
+++ b/src/net/client_port_adapter.cpp
@@ -55,7 +55,7 @@
 
 bool ClientPortAdapter::close_if_idle(dispatch::SessionId id) {
   auto* session = find(id);
-  return session && session->abort_if_idle();
+  return session && session->close_if_idle();
 }
 
 bool ClientPortAdapter::close_after_responses(dispatch::SessionId id) {
--- a/src/net/client_reading.cpp
+++ b/src/net/client_reading.cpp
@@ -83,7 +83,8 @@
 }
 
 Pollable::PollResult ClientSession::on_ready(Time now, bool is_ready) {
-  if (stalled_ && sender_.is_closing()) stop_reading();
+  const bool is_closing = stalled_ ? sender_.is_closing() : sender_.is_drained();
+  if (is_closing && !reading_stopped_) stop_reading();
   if (reading_stopped_) return wait_for_close(now);
   const PollResult result = read_and_post(now);
   const bool may_transfer = result != PollResult::closed && !reading_stopped_ && is_ready;
@@ -118,7 +119,7 @@
 }
 
 Pollable::PollResult ClientSession::read_and_post(Time now) try {
-  // Set before the bytes leave the socket, so that abort_if_idle() never misses them.
+  // Set before the bytes leave the socket, so that close_if_idle() never misses them.
   has_unposted_bytes_ = true;
   next_due_ = Time::max();
   ReadOutcome outcome = ReadOutcome::queue_full;
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -81,23 +81,33 @@
 }
 
 // Failure: a connection is closed as idle while it holds an unread request or an unwritten response. Symptom:
-// the request gets no response. Guard: both are checked, and nothing is read between check and abort.
+// the request gets no response. Guard: both are checked, and nothing is read between check and close.
+//
+// Failure: a request arrives right after its connection was closed as idle, and the kernel resets the
+// connection. Symptom: the client loses the response that was written just before. Guard: only the write side
+// is shut down, and the connection is kept until the client closes it, or for a limited time
+// (wait_for_close()).
 //
 // Failure: clients that repeat each refused request at once always have unread ones. Symptom: none of them is
 // ever closed, and no other client can connect. Guard: such a client is closed by the thread that reads it
 // (close_when_settled()), at once only if it has more requests open than the protocol allows.
-bool ClientSession::abort_if_idle() {
+bool ClientSession::close_if_idle() {
   // The checks follow a message's path: socket, decoder, event queue. Only this thread adds responses.
-  const bool is_idle = sender_.is_idle() && socket_.abort_if_nothing_unread([this] {
+  const bool is_idle = sender_.is_idle() && socket_.shutdown_write_if_nothing_unread([this] {
     return !has_unposted_bytes_ && !credits_.in_use();
   });
-  if (!is_idle && !is_flooding_) return false;
-  if (!is_idle && !exceeds_protocol_limits_) {
-    close_when_settled();
-    return false;
+  if (is_idle) {
+    close_after_writes();
+    reader_pool_.client_poller.prompt(weak_from_this());
+    return true;
   }
-  abort(is_idle ? "idle" : kProtocolLimits);
-  return true;
+  if (!is_flooding_) return false;
+  if (exceeds_protocol_limits_) {
+    abort(kProtocolLimits);
+    return true;
+  }
+  close_when_settled();
+  return false;
 }
 
 void ClientSession::close_after_writes_if_settled() {
@@ -105,7 +115,7 @@
   if (!socket_.has_unread_bytes() && !has_unposted_bytes_ && !credits_.in_use()) close_after_writes();
 }
 
-// The checks follow a message's path, as in abort_if_idle().
+// The checks follow a message's path, as in close_if_idle().
 bool ClientSession::close_after_writes_if_nothing_unread() {
   if (!reading_stopped_ && (socket_.has_unread_bytes() || has_unposted_bytes_ || credits_.in_use()))
     return false;
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -68,9 +68,9 @@
   void release_message_credit() { credits_.release(); }
   // Stops reading and writing at once. `cause` is a string literal; it is logged if responses were unwritten.
   void abort(const char* cause);
-  // Returns false if a message is unprocessed or a response unwritten. A client that floods is closed later
-  // then (close_when_settled()).
-  bool abort_if_idle();
+  // Shuts down the write side. Returns false, and does not, if a message is unprocessed or a response
+  // unwritten. A client that floods is closed later then (close_when_settled()).
+  bool close_if_idle();
   // Requests that arrive from now on are refused, and the connection is closed as soon as no call is open and
   // nothing is unread. A result cancels this, as the client does not flood any more.
   void close_when_settled() { close_requested_ = true; }
--- a/src/net/poller.cpp
+++ b/src/net/poller.cpp
@@ -48,6 +48,14 @@
   wake();
 }
 
+void Poller::prompt(std::weak_ptr<Pollable> connection) {
+  {
+    const std::lock_guard lock(mutex_);
+    prompted_.push_back(std::move(connection));
+  }
+  wake();
+}
+
 // EPOLLONESHOT: a connection is reported once, and again only after on_ready() has been called.
 //
 // Failure: the system cannot watch one more descriptor. Symptom: the connection is never read, and its
@@ -65,10 +73,11 @@
 void Poller::register_pending() {
   std::uint64_t count = 0;
   [[maybe_unused]] const auto read = ::read(wake_event_.get(), &count, sizeof count);
-  std::vector<std::weak_ptr<Pollable>> added;
+  std::vector<std::weak_ptr<Pollable>> added, prompted;
   {
     const std::lock_guard lock(mutex_);
     added.swap(pending_);
+    prompted.swap(prompted_);
   }
   for (const auto& weak : added) {
     auto connection = weak.lock();
@@ -76,6 +85,15 @@
     registrations_[++last_token_].connection = std::move(connection);
     notify(last_token_, false);
   }
+  for (const auto& weak : prompted) {
+    if (const auto connection = weak.lock()) notify_prompted(connection);
+  }
+}
+
+void Poller::notify_prompted(const std::shared_ptr<Pollable>& connection) {
+  const auto it = std::find_if(registrations_.begin(), registrations_.end(),
+                               [&](const auto& entry) { return entry.second.connection == connection; });
+  if (it != registrations_.end()) notify(it->first, false);
 }
 
 void Poller::unregister(std::uint64_t token) {
--- a/src/net/poller.h
+++ b/src/net/poller.h
@@ -48,6 +48,8 @@
   ~Poller();  // stops and joins the thread
   // Serves the connection from now on, if it still exists. Any thread may call.
   void add(std::weak_ptr<Pollable> connection);
+  // Calls on_ready() soon, if the connection is registered. Any thread may call.
+  void prompt(std::weak_ptr<Pollable> connection);
 
  private:
   struct Registration {
@@ -57,6 +59,7 @@
   };
   void run();
   void register_pending();
+  void notify_prompted(const std::shared_ptr<Pollable>& connection);
   void notify(std::uint64_t token, bool is_ready);
   void arm(std::uint64_t token, Registration& registration, Pollable::PollResult result);
   void unregister(std::uint64_t token);
@@ -65,8 +68,9 @@
   Fd epoll_;
   Fd wake_event_;
   std::mutex mutex_;
-  std::vector<std::weak_ptr<Pollable>> pending_;  // guarded by mutex_
-  bool stopping_ = false;                         // guarded by mutex_
+  std::vector<std::weak_ptr<Pollable>> pending_;   // guarded by mutex_; to be registered
+  std::vector<std::weak_ptr<Pollable>> prompted_;  // guarded by mutex_
+  bool stopping_ = false;                          // guarded by mutex_
   // Used by the poller's thread only. Tokens are never reused, so that a late epoll report cannot be
   // attributed to another connection.
   std::uint64_t last_token_ = 0;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -202,6 +202,10 @@
 
 void Socket::shutdown_write() {
   const std::lock_guard lock(mutex_);
+  shutdown_write_locked();
+}
+
+void Socket::shutdown_write_locked() {
   write_shut_down_ = true;
   if (fd_ && !aborted_) ::shutdown(fd_.get(), SHUT_WR);
 }
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -82,13 +82,13 @@
     const std::lock_guard lock(mutex_);
     return aborted_;
   }
-  // Aborts and returns true if there are no unread bytes and `may_abort()` returns true. No try_read() can
-  // run between the check and the abort.
-  template <class MayAbort>
-  bool abort_if_nothing_unread(MayAbort may_abort) {
+  // Shuts down the write side and returns true if there are no unread bytes and `may_shut_down()` returns
+  // true. No try_read() can run between the check and the shutdown.
+  template <class MayShutDown>
+  bool shutdown_write_if_nothing_unread(MayShutDown may_shut_down) {
     const std::lock_guard lock(mutex_);
-    if (has_unread_bytes() || !may_abort()) return false;
-    abort_locked();
+    if (has_unread_bytes() || !may_shut_down()) return false;
+    shutdown_write_locked();
     return true;
   }
 
@@ -97,6 +97,7 @@
 
  private:
   void abort_locked();
+  void shutdown_write_locked();
   // Returns the result of recv(): -1 with errno set on an error, EAGAIN if `deadline` has passed.
   std::ptrdiff_t receive(char* into, std::size_t size, Time deadline, int flags);
 
--- a/tests/node/net_client_test.cpp
+++ b/tests/node/net_client_test.cpp
@@ -39,12 +39,12 @@
   char first = 0;
   REQUIRE(::recv(fd.get(), &first, 1, MSG_PEEK) == 1);
   const auto session = fixture.session(std::move(fd));
-  CHECK_FALSE(session->abort_if_idle());  // unread: no read has been made yet
+  CHECK_FALSE(session->close_if_idle());  // unread: no read has been made yet
   CHECK((session->on_ready(net::now(), true) == net::Pollable::PollResult::wait_readable));
   CHECK(fixture.event_queue.drain_until(Time::max()).size() == 1);
-  CHECK_FALSE(session->abort_if_idle());  // passed to the dispatcher, which has not handled it
+  CHECK_FALSE(session->close_if_idle());  // passed to the dispatcher, which has not handled it
   session->release_message_credit();
-  CHECK_FALSE(session->abort_if_idle());        // incomplete
+  CHECK_FALSE(session->close_if_idle());        // incomplete
   CHECK((session->next_due() != Time::max()));  // the time limit of the incomplete message
   // After the time limit the client is no longer read, but its open request is still answered.
   CHECK((session->on_ready(session->next_due(), false) == net::Pollable::PollResult::wait_until_due));
@@ -146,7 +146,7 @@
   client.send("late");
   char bytes[16];
   REQUIRE(::recv(accepted.descriptor(), bytes, 1, MSG_PEEK) == 1);  // the bytes have arrived
-  CHECK_FALSE(accepted.abort_if_nothing_unread([] { return true; }));
+  CHECK_FALSE(accepted.shutdown_write_if_nothing_unread([] { return true; }));
   accepted.abort();
   CHECK(accepted.try_read(bytes, sizeof bytes) == std::size_t{0});
 }
@@ -161,7 +161,7 @@
   for (dispatch::CallId call = 1; call <= 40; ++call)
     session->send_result(call, {std::string(40'000, static_cast<char>('0' + call)), {}});
   resource_failure_percent = 0;
-  CHECK_FALSE(session->abort_if_idle());
+  CHECK_FALSE(session->close_if_idle());
   for (char call = 1; call <= 40; ++call)
     CHECK(pair.peer.read_until(std::string(40'000, static_cast<char>('0' + call))));
 }
--- a/tests/node/net_close_test.cpp
+++ b/tests/node/net_close_test.cpp
@@ -79,7 +79,7 @@
                       doctest::timeout(kTestTimeoutS)) {
   flood();
   send_requests();
-  CHECK_FALSE(session->abort_if_idle());
+  CHECK_FALSE(session->close_if_idle());
   CHECK((session->on_ready(time, true) == net::Pollable::PollResult::wait_until_due));
   read_refusals();
   CHECK_FALSE(client->read_until("anything", net::now() + 10s));
@@ -102,7 +102,7 @@
   --requests;
   flood();
   send_requests();
-  CHECK_FALSE(session->abort_if_idle());
+  CHECK_FALSE(session->close_if_idle());
   CHECK((session->on_ready(time, true) == net::Pollable::PollResult::wait_readable));
   read_refusals();
   session->send_failure(100, "test");
@@ -118,11 +118,34 @@
                   "a result cancels the close of a flooding client" * doctest::timeout(kTestTimeoutS)) {
   flood();
   send_requests();
-  CHECK_FALSE(session->abort_if_idle());
+  CHECK_FALSE(session->close_if_idle());
   session->send_result(99, {"row", {}});
   CHECK((session->on_ready(time, true) != net::Pollable::PollResult::closed));
   CHECK(drain_event_count() > 0);
 }
 
+// Guards against a reset by a request that crosses the close: the response that was written just before it
+// may be lost (issue 47, docs/incidents/unanswered-at-close.md).
+TEST_CASE_FIXTURE(PausedClient, "a request that crosses an idle close does not reset the connection" *
+                                    doctest::timeout(kTestTimeoutS)) {
+  client->send(encode_request(1, "0123456789abcde1", "select 1"));
+  wait_for_bytes(descriptor);
+  session->on_ready(net::now(), true);
+  CHECK(drain_event_count() == 1);
+  session->release_message_credit();
+  session->send_failure(1, "test");
+  CHECK(session->close_if_idle());
+  client->send(encode_request(2, "0123456789abcde2", "select 2"));
+  wait_for_bytes(descriptor);
+  CHECK((session->on_ready(net::now(), true) == net::Pollable::PollResult::wait_until_due));
+  CHECK(drain_event_count() == 0);
+  CHECK(client->read_until("Fault", net::now() + 10s));
+  char byte = 0;
+  while (::recv(client->socket.descriptor(), &byte, 1, 0) > 0) {
+  }
+  CHECK(::recv(client->socket.descriptor(), &byte, 1, 0) == 0);  // the end, not a reset
+  CHECK((session->on_ready(net::now() + 10s, false) == net::Pollable::PollResult::closed));
+}
+
 }  // namespace
 }  // namespace yokestream::test
--- a/tests/node/net_order_test.cpp
+++ b/tests/node/net_order_test.cpp
@@ -172,11 +172,11 @@
     dispatcher.handle_events(*this);
   }
   send_requests(100, 100);
-  CHECK_FALSE(session->abort_if_idle());  // after 56 refusals it may be a client that retries
+  CHECK_FALSE(session->close_if_idle());  // after 56 refusals it may be a client that retries
   send_requests(101, 110);
   session->on_ready(time, true);
   send_requests(111, 111);
-  CHECK(session->abort_if_idle());
+  CHECK(session->close_if_idle());
 }
 
 TEST_CASE("beyond its rate a client's requests are refused until nothing is unread") {
