A shutdown ends before the process may be killed, also with short deadlines

Cause: the times of a shutdown without a successor were fixed for a kill after 3.7 s (2.4, 2.9 s, and twice 0.6 s for last writes, which can add up to 4.1 s); the platform counts from the settings' longest deadline, 3 s at most.

Fix: all times follow from the time of the kill (ServiceLifecycle::begin_shutdown): requests are answered 0.8 s before it, or halfway where there is less; the loop and the last writes share what is left up to 0.2 s before it. For a longest deadline of 3 s or more the times for accepting and answering are as before.

--- a/src/dispatch/ports.h
+++ b/src/dispatch/ports.h
@@ -93,7 +93,7 @@
 };
 struct BeginShutdown {         // starts a planned restart
   bool has_successor = false;  // another process shares the listener and is ready
-  Duration max_duration{};     // with a successor: the process may be killed after this time
+  Duration max_duration{};     // the process may be killed after this time; 0: not known
 };
 struct StartDraining {};  // requested by the operators: stop serving clients
 struct Resume {};         // requested by the operators: serve clients again
--- a/src/dispatch/service_lifecycle.h
+++ b/src/dispatch/service_lifecycle.h
@@ -31,8 +31,12 @@
   void start_draining(Time now);
   void resume(Time now);
   // Starts a planned restart. A repeated call only takes a successor into account that became ready later.
-  // With a successor, which shares the listener, no further connection is accepted, and requests on open
-  // connections are served for as long as `max_duration` allows; after it the process may be killed.
+  // The process may be killed after `max_duration`; 0: not known. With a successor, which shares the
+  // listener, no further connection is accepted, and requests on open connections are served for as long as
+  // `max_duration` allows.
+  //
+  // Failure: a shutdown takes a fixed time, and the deployment's deadlines are shorter. Symptom: the process
+  // is killed while clients have requests open. Guard: all times of the shutdown follow from `max_duration`.
   void begin_shutdown(Time now, bool has_successor, Duration max_duration);
   void tick(Time now, bool any_connection_closing);
 
@@ -49,6 +53,8 @@
   bool may_exit(Time now) const { return now >= may_exit_from_; }
   // All open requests are answered at this time; Time::max() if not shutting down.
   Time shutdown_deadline() const { return shutdown_deadline_; }
+  // The process must have exited at this time; Time::max() if not shutting down.
+  Time exit_deadline() const { return exit_deadline_; }
 
  private:
   void enter(State state, Time now) {
@@ -62,6 +68,7 @@
   Time accept_requests_until_ = Time::max();
   Time close_idle_from_ = Time::max();
   Time shutdown_deadline_ = Time::max();
+  Time exit_deadline_ = Time::max();
   Time may_exit_from_ = Time::max();
 };
 
--- a/src/net/dispatcher_loop.cpp
+++ b/src/net/dispatcher_loop.cpp
@@ -15,8 +15,7 @@
 constexpr Duration kSlowIterationThreshold = milliseconds(40);
 constexpr Duration kSlowLogInterval = std::chrono::seconds(1);
 // Time to write the responses that are still queued at the end of a shutdown. All threads share a part of one
-// processor core, so writers may get no processor time for a moment. The process must end before it is
-// killed, 3.7 s after the request to shut down.
+// processor core, so writers may get no processor time for a moment.
 constexpr Duration kLastWriteTimeout = milliseconds(600);
 // The interval of checks whether sessions with unprocessed messages can be closed.
 constexpr Duration kSettleCheckInterval = milliseconds(10);
@@ -52,9 +51,12 @@
 }
 
 bool DispatcherLoop::has_finished(Time now) const {
-  const Time deadline = dispatcher_.lifecycle().shutdown_deadline();
-  return dispatcher_.shutdown_complete(now) ||
-         (deadline != Time::max() && now >= deadline + kLastWriteTimeout);
+  const auto& lifecycle = dispatcher_.lifecycle();
+  if (dispatcher_.shutdown_complete(now)) return true;
+  if (!lifecycle.is_shutting_down()) return false;
+  // Half of the time that is left is for close_sessions().
+  const Time deadline = lifecycle.shutdown_deadline();
+  return now >= deadline + (lifecycle.exit_deadline() - deadline) / 2;
 }
 
 void DispatcherLoop::run() {
@@ -154,8 +156,9 @@
                                   components_.upgrade && components_.upgrade->has_successor());
   if (components_.upgrade) components_.upgrade->withdraw();
   if (components_.fleet_state) components_.fleet_state->begin_shutdown();
-  components_.log.write(event.has_successor ? "shutdown begins: successor=yes"
-                                            : "shutdown begins: successor=no");
+  components_.log.write(std::string("shutdown begins: successor=") + (event.has_successor ? "yes" : "no") +
+                        " kill_after_ms=" + std::to_string(event.max_duration / milliseconds(1)) +
+                        " open_requests=" + std::to_string(dispatcher_.open_requests()));
 }
 
 // Stops accepting clients, answers the messages already read (by now with a rejection), writes the queued
@@ -163,7 +166,7 @@
 // last responses are on the way. Clients that do not read, or keep sending, do not delay the end.
 void DispatcherLoop::close_sessions() {
   if (components_.listener) components_.session_reaper.retire(std::move(components_.listener));
-  const Time deadline = now() + kLastWriteTimeout;
+  const Time deadline = std::min(now() + kLastWriteTimeout, dispatcher_.lifecycle().exit_deadline());
   bool first_pass = true;  // the queue may still hold the last accepted connection
   while ((first_pass || !components_.client_port.empty()) && now() < deadline) {
     first_pass = false;
--- a/src/upgrade/upgrade_coordinator.cpp
+++ b/src/upgrade/upgrade_coordinator.cpp
@@ -10,9 +10,9 @@
 using net::Time;
 using std::chrono::milliseconds;
 
-// If there is a successor, the platform kills this process after the longest deadline, capped at
-// kMaxCountedDeadline, plus kKillDelay.
-constexpr Duration kMaxCountedDeadline = std::chrono::seconds(5);
+// The platform kills a process that shuts down after the longest deadline, capped, plus kKillDelay.
+constexpr Duration kMaxCountedDeadline = std::chrono::seconds(3);
+constexpr Duration kMaxCountedDeadlineWithSuccessor = std::chrono::seconds(5);
 constexpr Duration kKillDelay = milliseconds(700);
 constexpr Duration kTickInterval = milliseconds(100);
 constexpr Duration kSnapshotInterval = milliseconds(1000);
@@ -30,7 +30,8 @@
 dispatch::BeginShutdown shutdown_event(const config::RealSettings& settings, bool has_successor) {
   dispatch::BeginShutdown event;
   event.has_successor = has_successor;
-  event.max_duration = std::min(settings.longest_deadline(), kMaxCountedDeadline) + kKillDelay;
+  const Duration cap = has_successor ? kMaxCountedDeadlineWithSuccessor : kMaxCountedDeadline;
+  event.max_duration = std::min(settings.longest_deadline(), cap) + kKillDelay;
   return event;
 }
 
--- a/tests/node/service_test.cpp
+++ b/tests/node/service_test.cpp
@@ -123,6 +123,31 @@
   CHECK(was_called(harness, "close 2"));
 }
 
+// Guards against a shutdown that outlasts short deadlines: the process was killed while clients had requests
+// open (issue 47, docs/incidents/unanswered-at-close.md).
+TEST_CASE("a shutdown answers all requests and is due to exit before the process may be killed") {
+  for (const Duration until_kill : {1000ms, 1300ms, 1700ms, 2200ms, 3700ms}) {
+    CAPTURE(until_kill.count());
+    for (const bool has_successor : {false, true}) {
+      DispatcherHarness harness(config::decode_config(config_text()));
+      harness.send_request(1, 1);
+      harness.write_last_attempt();
+      const Time begin = harness.now;
+      harness.handle(dispatch::BeginShutdown{has_successor, until_kill});
+      const auto& lifecycle = harness.dispatcher.lifecycle();
+      CHECK((lifecycle.exit_deadline() <= begin + until_kill - 200ms));
+      CHECK((lifecycle.shutdown_deadline() < lifecycle.exit_deadline()));
+      CHECK(lifecycle.accepts_connections(begin + 400ms) == !has_successor);
+      for (dispatch::CallId call = 2; harness.now < lifecycle.exit_deadline() - 50ms; ++call) {
+        harness.send_request(call);
+        harness.advance(50ms);
+      }
+      for (const auto& [call, replies] : harness.replies) CHECK(replies.size() == 1);
+      CHECK(harness.dispatcher.open_requests() == 0);
+    }
+  }
+}
+
 TEST_CASE("a request that arrives while its connection is being closed is answered once") {
   DispatcherHarness harness(config::decode_config(config_text()));
   harness.send_request(1);
