--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -5,7 +5,9 @@
 #include <prometheus/registry.h>
 
 #include <array>
+#include <atomic>
 #include <cmath>
+#include <utility>
 
 namespace yokestream::metrics {
 namespace {
@@ -39,13 +41,35 @@
   return kPrefix + name + ':' + std::to_string(std::llround(value)) + '|' + type + '\n';
 }
 
+// A counter that has no line in the text before it has counted something, so that the text of a process
+// without such events stays as its readers know it.
+class LateCounter {
+ public:
+  void set_family(prometheus::Family<prometheus::Counter>& family, prometheus::Labels labels) {
+    family_ = &family;
+    labels_ = std::move(labels);
+  }
+  void increment() {
+    auto* counter = counter_.load();
+    if (counter == nullptr)
+      counter_ = counter = &family_->Add(labels_);  // yields the same one to all threads
+    counter->Increment();
+  }
+
+ private:
+  prometheus::Family<prometheus::Counter>* family_ = nullptr;
+  prometheus::Labels labels_;
+  std::atomic<prometheus::Counter*> counter_{nullptr};
+};
+
 }  // namespace
 
 struct Metrics::Impl {
   prometheus::Registry registry;
   std::vector<std::array<prometheus::Counter*, kOutcomeNames.size()>> requests;  // by class and outcome
-  std::array<prometheus::Counter*, kRejectionCauses.size()> rejections{};
-  prometheus::Counter *attempts = nullptr, *closes_with_pending_requests = nullptr;
+  std::array<LateCounter, kRejectionCauses.size()> rejections;                   // by RejectionCause
+  LateCounter closes_with_pending_requests;
+  prometheus::Counter* attempts = nullptr;
   prometheus::Gauge *in_flight = nullptr, *known_engines = nullptr, *excluded_engines = nullptr;
 };
 
@@ -58,11 +82,11 @@
       counters[outcome] = &requests.Add({{kClassLabel, name}, {kOutcomeLabel, kOutcomeNames[outcome]}});
   }
   impl_->attempts = &prometheus::BuildCounter().Name("attempts").Register(registry).Add({});
-  impl_->closes_with_pending_requests =
-      &prometheus::BuildCounter().Name("client_closes_with_pending_requests").Register(registry).Add({});
+  impl_->closes_with_pending_requests.set_family(
+      prometheus::BuildCounter().Name("client_closes_with_pending_requests").Register(registry), {});
   auto& rejections = prometheus::BuildCounter().Name("rejections").Register(registry);
   for (std::size_t cause = 0; cause < kRejectionCauses.size(); ++cause)
-    impl_->rejections[cause] = &rejections.Add({{kCauseLabel, kRejectionCauses[cause]}});
+    impl_->rejections[cause].set_family(rejections, {{kCauseLabel, kRejectionCauses[cause]}});
   const auto add_gauge = [&](const char* name) {
     return &prometheus::BuildGauge().Name(name).Register(registry).Add({});
   };
@@ -78,10 +102,10 @@
 }
 
 void Metrics::count_rejection(RejectionCause cause) {
-  impl_->rejections.at(static_cast<std::size_t>(cause))->Increment();
+  impl_->rejections.at(static_cast<std::size_t>(cause)).increment();
 }
 
-void Metrics::count_close_with_pending_requests() { impl_->closes_with_pending_requests->Increment(); }
+void Metrics::count_close_with_pending_requests() { impl_->closes_with_pending_requests.increment(); }
 
 void Metrics::count_attempt() { impl_->attempts->Increment(); }
 
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -1,7 +1,8 @@
 // Counters and gauges of this process, which the management port exports as text.
 //
 // All values start at 0 with the process. Metrics makes no decisions and reads no clock. Thread-safe: an
-// update is one atomic operation; text() takes a lock that updates do not take. Memory is allocated once, a
+// update is one atomic operation, the first of some counters takes a lock; text() takes a lock that other
+// updates do not take. Memory is allocated once, a
 // few hundred bytes per class.
 #pragma once
 
@@ -36,6 +37,7 @@
   // Counts a request that has received its final answer. `query_class` is the position of its class in the
   // list that was passed to the constructor.
   void count_request(std::size_t query_class, RequestOutcome outcome);
+  // The two counters below have no line in text() before they have counted something.
   void count_rejection(RejectionCause cause);
   // This process closed a client's connection although requests of the client were pending.
   void count_close_with_pending_requests();
