A busy client's refusals are not held back for a requested close

What callers would see: in a shutdown, a client with its own reader thread that wrote a request in two pieces got the refusal up to 1 s late. Fix: the reader thread starts with closing_ unset.

--- a/src/net/client_reader_thread.cpp
+++ b/src/net/client_reader_thread.cpp
@@ -50,6 +50,7 @@
 // The client poller handles an incomplete or malformed message, and the limits of a client without memory or
 // with too many refused messages.
 bool ClientSession::run_reader() {
+  closing_ = false;  // only the client poller closes a session, so only it may hold refusals back
   while (true) {
     const auto decoded = decode_pending(now());
     if (!post_all_waiting()) return false;
