--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -173,8 +173,7 @@
 void Dispatcher::on(const SessionClosed& closed) {
   const std::vector<QueryId> open_queries = requests_.open_calls_of(closed.session);
   for (const QueryId query : open_queries) attempts_.abandon_request(query);
-  // The client may not have closed the connection itself, so the loss of open requests is logged with the
-  // cause.
+  // Logged with the cause, as the client may not have closed the connection itself.
   if (!open_queries.empty())
     log_.write("client connection closed: open_requests=" + std::to_string(open_queries.size()) +
                " cause=\"" + closed.cause + "\"");
