--- a/src/net/client_reading.cpp
+++ b/src/net/client_reading.cpp
@@ -128,13 +128,9 @@
     outcome = read_ahead(now);
     release_spare_input();
     if (outcome == ReadOutcome::closed) return PollResult::closed;
-    if (closing_ && exceeds_protocol_limits_) {
-      close_cause_ = kProtocolLimits;
-      return PollResult::closed;
-    }
+    const bool is_settled = outcome == ReadOutcome::nothing_unread && reader_.pending() == 0;
+    if (closing_ && (is_settled || exceeds_protocol_limits_)) return finish_closing(now);
     if (outcome == ReadOutcome::read_limit) return continue_later(now);
-    if (closing_ && outcome == ReadOutcome::nothing_unread && reader_.pending() == 0)
-      return finish_closing(now);
     send_refusals();
     const PollResult posted = post_all(now);
     if (posted != PollResult::wait_readable) return posted;
@@ -183,7 +179,8 @@
 
 // Failure: a connection is closed by a thread that cannot know what its client has just written. Symptom: a
 // request that was taken gets no response. Guard: the thread that reads the client closes it, right after a
-// read has found nothing and while no call is open; only requests that cross the close are left.
+// read has found nothing and while no call is open; only requests that cross the close are left. A client
+// that has sent more than the protocol allows is not read further, but what was read of it is refused.
 Pollable::PollResult ClientSession::finish_closing(Time now) {
   log_.write("client connection closing: cause=\"no request open\" " + describe_pending() +
              " refused_at_close=" + std::to_string(unsent_refusals_.size()));
--- a/tests/node/net_close_test.cpp
+++ b/tests/node/net_close_test.cpp
@@ -113,6 +113,19 @@
   CHECK_FALSE(client->read_until("anything", net::now() + 10s));
 }
 
+// Guards against dropping the refusals of requests that were read, because their client sends more than the
+// protocol allows (docs/incidents/unanswered-at-close.md).
+TEST_CASE_FIXTURE(RepeatingClient,
+                  "a client over the protocol's limits gets a refusal for what was read before its close" *
+                      doctest::timeout(kTestTimeoutS)) {
+  requests = 40;
+  session->close_when_settled();
+  send_requests();
+  CHECK((session->on_ready(time, true) == net::Pollable::PollResult::wait_until_due));
+  read_refusals();
+  CHECK_FALSE(client->read_until("anything", net::now() + 10s));
+}
+
 // A client that is served does not flood: a close that was requested before does not come.
 TEST_CASE_FIXTURE(RepeatingClient,
                   "a result cancels the close of a flooding client" * doctest::timeout(kTestTimeoutS)) {
