Client sessions: one check for unhandled input, no text for closes that are not logged

The look at what is unread, unposted and unhandled stood in three places; each close built its log text, with system calls, also where nothing is logged; each message took the lock of the open calls three times; a test built the client session that PausedClient holds.

--- a/src/net/client_decoding.cpp
+++ b/src/net/client_decoding.cpp
@@ -76,13 +76,15 @@
   }
   const std::uint64_t call = *protocol::call_id(entry.message);
   if (open_calls_.contains(call)) throw ReusedCallError("call id of an open request reused");
+  std::size_t open_calls = 0;
   if (accept_request(now)) {
-    open_calls_.add(call);
+    open_calls = open_calls_.add(call);
     messages_.push(std::move(entry));
   } else {
     refuse(call, entry.message);
+    open_calls = open_calls_.size();
   }
-  if (open_calls_.size() + unsent_refusals_.size() > kMaxOpenCalls) exceeds_protocol_limits_ = true;
+  if (open_calls + unsent_refusals_.size() > kMaxOpenCalls) exceeds_protocol_limits_ = true;
 }
 
 bool ClientSession::accept_request(Time now) {
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -60,16 +60,23 @@
 // After the write side has been shut down, unread bytes are requests that crossed the close.
 bool ClientSession::has_pending_requests() {
   if (open_calls_.size() > 0) return true;
-  return !sender_.is_drained() && (socket_.has_unread_bytes() || has_unposted_bytes_ || credits_.in_use());
+  return !sender_.is_drained() && has_unhandled_input();
+}
+
+// The checks follow a message's path: socket, decoder, event queue.
+bool ClientSession::has_unhandled_input() {
+  return socket_.has_unread_bytes() || has_unposted_bytes_ || credits_.in_use();
 }
 
 // Failure: an abort drops an unwritten response or a request. Symptom: the client never receives a response,
 // and no log line tells why. Guard: the first abort logs its cause.
 void ClientSession::log_close(const char* cause) {
+  const bool is_unwritten = !sender_.is_idle();
+  closed_with_pending_requests_ = !socket_.peer_has_closed() && has_pending_requests();
+  if (!is_unwritten && !closed_with_pending_requests_) return;
   const std::string details = std::string(": cause=\"") + cause + "\" " + describe_pending();
-  if (!sender_.is_idle()) log_.write("client connection aborted with unwritten responses" + details);
-  if (socket_.peer_has_closed() || !has_pending_requests()) return;
-  closed_with_pending_requests_ = true;
+  if (is_unwritten) log_.write("client connection aborted with unwritten responses" + details);
+  if (!closed_with_pending_requests_) return;
   log_.write("client connection closed with pending requests" + details);
 }
 
@@ -112,13 +119,11 @@
 
 void ClientSession::close_after_writes_if_settled() {
   close_when_settled();
-  if (!socket_.has_unread_bytes() && !has_unposted_bytes_ && !credits_.in_use()) close_after_writes();
+  if (!has_unhandled_input()) close_after_writes();
 }
 
-// The checks follow a message's path, as in close_if_idle().
 bool ClientSession::close_after_writes_if_nothing_unread() {
-  if (!reading_stopped_ && (socket_.has_unread_bytes() || has_unposted_bytes_ || credits_.in_use()))
-    return false;
+  if (!reading_stopped_ && has_unhandled_input()) return false;
   close_after_writes();
   return true;
 }
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -101,6 +101,7 @@
   // What the client has sent and is not handled, or is owed, as `key=value` words for the log.
   std::string describe_pending();
   bool has_pending_requests();
+  bool has_unhandled_input();  // something that the client has written and the dispatcher has not handled
   void log_close(const char* cause);
   void respond(dispatch::CallId call, Item item, std::size_t counted_bytes);
   void respond(dispatch::CallId call, std::string bytes);
--- a/src/net/open_calls.h
+++ b/src/net/open_calls.h
@@ -16,9 +16,11 @@
     const std::lock_guard lock(mutex_);
     return numbers_.count(number) > 0;
   }
-  void add(std::uint64_t number) {
+  // Returns the number of calls that are open now.
+  std::size_t add(std::uint64_t number) {
     const std::lock_guard lock(mutex_);
     numbers_.insert(number);
+    return numbers_.size();
   }
   std::size_t size() {
     const std::lock_guard lock(mutex_);
--- a/tests/node/net_close_test.cpp
+++ b/tests/node/net_close_test.cpp
@@ -163,23 +163,19 @@
 // Guards against refusals that are held back for a close that another thread cannot make: they were late.
 TEST_CASE("a busy client whose close is requested gets its refusals at once" *
           doctest::timeout(kTestTimeoutS)) {
-  SessionFixture fixture(1);
-  TestListener listening;
-  TestPeer client(listening.endpoint);
-  Fd fd(::accept(listening.fd.get(), nullptr, nullptr));
-  const int descriptor = fd.get();
-  const auto session = fixture.session(std::move(fd));
+  PausedClient paused(1);
+  const auto& session = paused.session;
   for (const dispatch::CallId call : {1, 2}) session->send_result(call, {"row", {}});
   session->close_when_settled();
   const std::string request = encode_request(3, "1000000000000003", "x");
-  client.send(request.substr(0, 20));
-  wait_for_bytes(descriptor);
+  paused.client->send(request.substr(0, 20));
+  wait_for_bytes(paused.descriptor);
   CHECK((session->on_ready(net::now(), true) == net::Pollable::PollResult::handed_over));
-  client.send(request.substr(20));
-  CHECK(client.read_until("Shed", net::now() + 10s));
+  paused.client->send(request.substr(20));
+  CHECK(paused.client->read_until("Shed", net::now() + 10s));
   // Once it is silent, the client poller closes it; its refusal was not held back until then.
-  fixture.log.wait_for("client connection closing");
-  CHECK(fixture.log.count("refused_at_close=0") == 1);
+  paused.fixture.log.wait_for("client connection closing");
+  CHECK(paused.fixture.log.count("refused_at_close=0") == 1);
   session->abort("test");
 }
 
--- a/tests/node/net_session_fixture.h
+++ b/tests/node/net_session_fixture.h
@@ -63,7 +63,8 @@
 
 // A client that is only read when the test says so, as if the process had been suspended in between.
 struct PausedClient {
-  SessionFixture fixture{0};
+  explicit PausedClient(std::size_t max_readers = 0) : fixture(max_readers) {}
+  SessionFixture fixture;
   TestListener listening;
   std::unique_ptr<TestPeer> client = std::make_unique<TestPeer>(listening.endpoint);
   Fd accepted{::accept(listening.fd.get(), nullptr, nullptr)};
